--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -48,7 +48,7 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.WARNING, format="%(levelname)s %(name)s: %(message)s")
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
     except ConfigError as problem:
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any, NamedTuple, Protocol
@@ -23,6 +23,7 @@
 
 MS = 1_000_000
 DEADLINE_MARGIN = 10 * MS  # the client's time ends this much earlier here: for loop lag and the way back
+STATUS_EVERY = 1.0  # seconds between two status lines: cuts and queues turn within a few
 
 
 class Clock:
@@ -103,10 +104,13 @@
         self.fetch: Callable[[], None] = lambda: None
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
+        self._counts: Counter[str] = Counter()  # since the last status line
+        self._took = 0  # by the attempts served since then
 
     # ---- events
 
     def start(self, known: HostList) -> None:
+        self._loop.call_later(STATUS_EVERY, self._status)
         self.post(api.Attached())
         self.learn(known, api.ListKind.CACHED)
 
@@ -137,10 +141,33 @@
         for action in actions:
             self._actions[type(action)](action)
 
+    def _status(self) -> None:
+        """One line for on-call: what came and went since the last, and how the decisions stand."""
+        self._loop.call_later(STATUS_EVERY, self._status)
+        counts, self._counts = self._counts, Counter()
+        took, self._took = self._took / MS / max(1, counts["ok"]), 0
+        if counts:
+            said = " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
+            log.info(
+                "status: %s ok_ms=%.1f open=%d connections=%d | %s",
+                said, took, len(self._open), self.upstream.connections, self._stand(),
+            )  # fmt: skip
+
+    def _stand(self) -> str:
+        b = self._balancer
+        ready, used = (sum(map(len, sides)) for sides in (b.order, b.subset))
+        base, mean = ("/".join(f"{t / MS:.0f}" for t in times) for times in (b.base, b.mean))
+        return (
+            f"cut={b.cut:.0f}/{b.top} pressure={b.pressure:.2f}/{b.over:.2f} crossing={b.crossing:.2f} "
+            f"flying={b.flying} peak={b.peak:.1f} ready={ready} used={used} budget={b.budget:.1f} "
+            f"base_ms={base} mean_ms={mean}"
+        )
+
     # ---- requests
 
     def request(self, client: Client, incoming: Incoming) -> int:
         """Take a request; the client is answered once, unless `gone` tells that it left."""
+        self._counts["requests"] += 1
         self._last_id += 1
         rid, now = self._last_id, self.now()
         expires = now + max(0, incoming.deadline - DEADLINE_MARGIN)
@@ -217,6 +244,7 @@
 
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
+        self._counts[Outcome(outcome).name.lower()] += 1
         if request.patience is not None:
             request.patience.cancel()
             request.patience = None
@@ -225,15 +253,18 @@
         over = request.answered
         self._settle(request)
         took, report = self.now() - request.sent, self.upstream.report(answer)
+        self._took += took * (outcome == Outcome.OK)
         self.post(api.Completed(request.id, number, request.endpoint, outcome, took, over, report))
 
     def _refuse(self, action: api.Refuse) -> None:
         if (request := self._conclude(action.id)) is not None:
+            self._counts["refused_late" if request.attempts else "refused_unsent"] += 1
             request.client.refuse(action.stay_away)
             self._settle(request)
 
     def _fail(self, action: api.Fail) -> None:
         if (request := self._conclude(action.id)) is not None:
+            self._counts["failed"] += 1
             request.client.fail(request.last == Outcome.TIMEOUT)
             self._settle(request)
 
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -329,6 +329,10 @@
 
     # ---- connections
 
+    @property
+    def connections(self) -> int:
+        return self._open
+
     def room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one makes room if need be."""
         if self._open < self._most:
