Hold ejections to half of the endpoints there are

The cap was a share of the places a subset may have (8 and more), which 7 endpoints in two zones never reach: all were out, and every request was refused.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -238,11 +238,11 @@
         size = self.size()
         for side in (0, 1):
             subset: list[Member] = []
-            out, filled = 0, 0.0
+            out, filled, most_out = 0, 0.0, EJECT_SHARE * min(size, len(self.order[side]))
             for member in self.order[side]:
                 if filled >= size:
                     break
-                if member.out_until > now and out < EJECT_SHARE * size:
+                if member.out_until > now and out + 1 <= most_out:
                     out += 1
                 else:
                     subset.append(member)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,6 +4,8 @@
 
 from collections import Counter
 
+import pytest
+
 from cranespindle import api, balance
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
@@ -78,6 +80,17 @@
     assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
 
 
+@pytest.mark.parametrize("servers", [1, 3, 4, 7])
+def test_at_most_half_of_few_endpoints_are_ejected(servers: int) -> None:
+    """Fewer endpoints than the subset has places: half of those there are stay in, so something is sent."""
+    b = Bench(settings(max_attempts=1), servers=servers)
+    for _ in range(300):
+        b.now += 5 * MS
+        b.answer(b.sent(), api.Outcome.CONNECT_FAILED, 3 * MS)
+    b.sent()
+    assert len(b.balancer.subset[0]) == servers - servers // 2
+
+
 def test_nothing_new_goes_to_a_draining_or_gone_endpoint() -> None:
     b = Bench(settings(), servers=2)
     one, two = (n.to_bytes(6, "little") for n in (1, 2))
