Count an unreadable answer as an error, not as a broken connection

A RESET ejects its endpoint at once, for 2 to 20 s; answers that are no HTTP were reported as one. With about 1 in 20 answers so, half of the endpoints were out.

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -33,6 +33,9 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+UNREADABLE = Answer(0, [], b"")  # what came cannot be read as HTTP: the endpoint is up all the same
+
+
 class Connection(asyncio.Protocol):
     """One HTTP/1.1 client connection; it carries a request at a time and never sends one again by itself."""
 
@@ -65,8 +68,8 @@
         return transport is not None and not transport.is_closing() and not self._poll.poll(0)
 
     def send(self, data: bytes, done: Callable[[Answer | None], None]) -> bool:
-        """Write a request. False: its last byte surely did not go out. Else `done` gets the answer, once, or
-        None if the connection broke.
+        """Write a request. False: its last byte surely did not go out. Else `done` gets the answer, once:
+        UNREADABLE if it makes no sense, None if the connection broke.
 
         The write goes to the socket itself, as the transport would not tell how much the kernel took.
         """
@@ -107,7 +110,7 @@
             # Bytes past the end of the answer make the connection unfit, not the answer.
             self._finish(self._answer, self._keep and not self._junk)
         elif self._junk:
-            self._finish(None, False)
+            self._finish(UNREADABLE, False)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
