Eject a server on three failures in a row, whatever they are

One reset or failed connection took its server out for 2 s and more, though servers that run break connections now and then: 3 of 7 were out from second 3 to the end.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -393,9 +393,7 @@
             self.credit[side] = min(1.0, self.credit[side] + earned)
             return
         member.streak += 1
-        if outcome == Outcome.FULL or member.out_until > now:
-            return
-        if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET) or member.streak >= FAILS_TO_EJECT:
+        if outcome != Outcome.FULL and member.streak >= FAILS_TO_EJECT and member.out_until <= now:
             away = min(EJECT_FIRST << min(member.ejections, 8), EJECT_MOST)
             member.out_until = now + int(away * (0.75 + self.rand() / 2))
             member.ejections += 1
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -80,6 +80,24 @@
     assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
 
 
+@pytest.mark.parametrize("outcome", [api.Outcome.RESET, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR])
+def test_single_failures_between_answers_eject_nobody(outcome: api.Outcome) -> None:
+    """A running server may break a connection now and then; one that fails time after time is out."""
+    b = Bench(settings(max_attempts=1), servers=4)
+    [failing, *_] = b.balancer.members
+    failed = 0
+    for _ in range(200):
+        send = b.sent()
+        bad = send.endpoint == failing and failed < 2  # two in a row, then an answer
+        failed = (failed + 1) % 3 if send.endpoint == failing else failed
+        b.answer(send, outcome if bad else api.Outcome.OK, 3 * MS)
+        assert not b.balancer.members[failing].out_until
+    for _ in range(200):
+        send = b.sent()
+        b.answer(send, outcome if send.endpoint == failing else api.Outcome.OK, 3 * MS)
+    assert b.balancer.members[failing].out_until
+
+
 @pytest.mark.parametrize("servers", [1, 3, 4, 7])
 def test_at_most_half_of_few_endpoints_are_ejected(servers: int) -> None:
     """Fewer endpoints than the subset has places: half of those there are stay in, so something is sent."""
