Leave a zone while every endpoint in it is out

The cap on ejections keeps half of a zone's endpoints in, dead or not, so all of its traffic went to servers that refused it, with four others up across.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -156,7 +156,7 @@
         self.latency = [[0.0, 0.0] for _ in self.classes]  # summed over the aim, and count; shared with peers
         self.mean = [0.0] * len(self.classes)  # mean latency over some seconds
         self.base = [0.0] * len(self.classes)  # latency without wait: the mean's slowly rising minimum
-        self.crossing = 0.0
+        self.crossing, self.home_out = 0.0, False  # out: all endpoints of this zone, not all of the others
         # cut
         worths = {c.worth for c in self.classes}
         ranks = {worth: i for i, worth in enumerate(sorted(worths))}
@@ -236,6 +236,7 @@
     def refill(self, now: int) -> None:
         self.dirty = False
         size = self.size()
+        self.home_out = [all(m.out_until > now for m in side) for side in self.order] == [True, False]
         for side in (0, 1):
             subset: list[Member] = []
             out, filled, most_out = 0, 0.0, EJECT_SHARE * min(size, len(self.order[side]))
@@ -545,7 +546,7 @@
 
     def steer(self, now: int) -> None:
         """Move the cut, and before it the share that crosses zones where that has a price."""
-        (local, rate), (remote, _) = self.view(True), self.view(False)
+        (remote, _), (local, rate) = self.view(False), self.view(not self.home_out)
         self.pressure = local + (remote - local) * self.crossing
         # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, beyond
         # what a price is worth, and home as they even out. By the time passed, as sparse cycles are long.
@@ -635,7 +636,7 @@
         if self.dirty:
             self.refill(now)
         far = self.may_cross(request.cls)
-        side = int(far and (not self.subset[0] or self.rand() < self.crossing))
+        side = int(far and (self.home_out or self.rand() < self.crossing))
         first = not request.attempts and not request.steps
         member = (self.cold(side, now) if first else None) or self.pick(side, request, now)
         if member is None and far and not side:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -359,6 +359,19 @@
     assert b.balancer.flying == 0
 
 
+def test_a_zone_with_every_endpoint_out_is_left_for_the_other() -> None:
+    b = Bench(settings(max_attempts=1, zones=2, zone=0), servers=0)
+    b.list_of(*(endpoint(n, zone=int(n > 3)) for n in range(1, 8)))
+    home = {endpoint(n).id for n in range(1, 4)}
+    for _ in range(60):
+        send = b.sent()
+        b.answer(send, api.Outcome.CONNECT_FAILED if send.endpoint in home else api.Outcome.OK, 3 * MS)
+    assert not {b.sent().endpoint for _ in range(20)} & home
+    b.now += 2 * balance.EJECT_FIRST
+    b.tick(0.25)
+    assert b.sent().endpoint in home  # their time out is over
+
+
 def test_failed_connects_bring_traffic_home() -> None:
     """A zone that is cut off shows no waits: by their difference alone it would draw ever more."""
     b = Bench(settings(zones=2), servers=0)
