--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -1,8 +1,7 @@
 """Every decision of cranespindle. Its interface (settings, events, actions) is cranespindle/api.py.
 
 The ordinary path of a request: the admission cut over (business, user) levels refuses it unsent or lets it
-pass; a passed request goes to an idle member of a small subset. docs/design.md says where and why the code
-departs from that. All times are integer nanoseconds of the clock that comes with each event.
+pass; a passed request goes to an idle member of a small subset. All times are nanoseconds.
 """
 
 from __future__ import annotations
@@ -272,8 +271,7 @@
     def idle(self, side: int, request: Pending, now: int) -> list[Member]:
         """The warm members that may have the request: those with none of ours in flight, else all.
 
-        Where keys are warm on servers that met them, all sidecars take the same few members for a key. Harm:
-        a very popular one crowds them.
+        Where keys are warm on servers that met them, all sidecars take the same few members for a key.
         """
         cls, key = self.classes[request.cls], request.key if self.settings.warm_keys else 0
         within = request.ran if cls.effect == Effect.KEYED else None
@@ -548,8 +546,8 @@
         """Move the cut, and before it the share that crosses zones where that has a price."""
         (remote, _), (local, rate) = self.view(False), self.view(not self.home_out)
         self.pressure = local + (remote - local) * self.crossing
-        # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, beyond
-        # what a price is worth, and home as they even out. By the time passed, as sparse cycles are long.
+        # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, and home
+        # as they even out. By the time passed, as sparse cycles are long.
         if self.order[1]:
             ahead = max(-0.5, min(2.0, (local - remote - self.settings.cross_price) / self.over))
             step = SPILL_STEP * (now - self.cycle_from) / CYCLE * ahead
@@ -560,9 +558,14 @@
             fitting = rate * (1 - DRAIN * min(2.0, self.pressure))
             if fitting < 1 - RISE:
                 share = min(RISE_MOST, 1 - fitting)
-                self.raise_cut(share)
+                relieved = self.evidence
+                if self.order[1] and remote <= self.over and not self.home_out:
+                    self.crossing += share * (1 - self.crossing)  # the others take what is too much here
+                    relieved = [self.evidence[self.settings.zone]]
+                else:
+                    self.raise_cut(share)
                 self.calm = 0
-                for evidence in self.evidence:  # count the sends as if the new cut had held for them
+                for evidence in relieved:  # count the sends as if this had held for them
                     evidence[SENT] *= 1 - share
         elif self.cut > 0:
             # Spells that feed on load end only at rest, so the first steps are small; lasting calm is room.
@@ -575,10 +578,7 @@
         return [*self.evidence, self.spread, *self.latency]
 
     def tell(self) -> None:
-        """Give equal parts of the evidence to a few peers: the fleet's mean forms within some cycles.
-
-        A sidecar with a request a second has no view of its own in time; without peers it waits for one.
-        """
+        """Give equal parts of the evidence to a few peers: the fleet's mean forms within some cycles."""
         settings = self.settings
         if not settings.peers or settings.instances < 2:
             return
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -334,6 +334,19 @@
     assert b.balancer.crossing < risen
 
 
+def test_traffic_crosses_before_any_is_shed() -> None:
+    """Servers across a small price are better than a refusal; once they wait too, the rest is shed."""
+    b, _ = asking(cross_price=0.1)
+    b.balancer.spread = [100.0]
+    local = [20.0, 20.0, 20.0, 10.0]
+    b.balancer.evidence = [list(local), [0.0, 10.0, 10.0, 10.0]]
+    b.balancer.steer(b.now + SECOND // 4)
+    assert b.balancer.crossing > 0.3 and b.balancer.cut == 0
+    b.balancer.evidence = [list(local), list(local)]
+    b.balancer.steer(b.now + SECOND // 4)
+    assert b.balancer.cut > 0
+
+
 def test_all_sidecars_take_the_same_few_members_for_a_warm_key() -> None:
     """A server that met a key does much less work for it; by sidecars' own subsets each met all keys."""
     met: dict[int, set[bytes]] = {7: set(), 8: set(), 9: set()}
