--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -524,7 +524,7 @@
                 aim = self.classes[i].aim
                 self.mean[i] = mean = total / count * aim
                 # A mean over few answers strays low, and its minimum with it: hence pooled, over seconds.
-                self.base[i] = min(mean, self.base[i] * BASE_DRIFT or mean, aim * BASE_MOST)
+                self.base[i] = min(mean, self.base[i] * BASE_DRIFT or aim * BASE_GUESS, aim * BASE_MOST)
             self.latency[i] = [total * LATENCY_KEEP, count * LATENCY_KEEP]
         shares = [b / (c.aim - b) for b, c in zip(self.base, self.classes, strict=True) if b]
         if shares:
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -148,6 +148,18 @@
     assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
 
 
+def test_a_start_in_overload_does_not_pass_for_the_latency_without_wait() -> None:
+    b = bench()
+    aim = b.config.classes[0].aim
+    for _ in range(4):
+        for _ in range(10):
+            if isinstance(send := b.ask(), api.Send):
+                b.answer(send, took=int(0.8 * aim))
+        b.tick(0.25)
+    assert b.balancer.cut > 0
+    assert b.balancer.base[0] < 0.3 * aim < b.balancer.mean[0]
+
+
 def test_answers_that_outrun_sends_do_not_raise_the_cut_again() -> None:
     """While queues drain, answers to old sends are late; each once raised the cut further."""
     b = bench()
