Take up a replaced configuration on SIGHUP

The signal ended the process; now the file is read again and the watch goes on at discovery's new address.

--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -21,6 +21,8 @@
 ACCEPT_ON = 0.6  # after SIGTERM new connections come for 0.2 to 0.4 s more
 BACKLOG = 512
 
+log = logging.getLogger(__name__)
+
 
 async def serve(config: Config) -> None:
     """Serve until SIGTERM or SIGINT; then finish what was taken."""
@@ -33,7 +35,9 @@
     if config.peer_listen is not None and config.settings.peers:
         await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
     host.start(config.known)
-    Discovery(config, host, loop).start()
+    discovery = Discovery(config, host, loop)
+    discovery.start()
+    loop.add_signal_handler(signal.SIGHUP, reconfigure, discovery)
     server = await loop.create_server(lambda: ClientConnection(frontend), *config.listen, backlog=BACKLOG)
     await told_to_stop.wait()
     # Answers close their connections from here on, so that clients leave as they are served.
@@ -47,6 +51,14 @@
         await asyncio.wait_for(frontend.finished(), longest)
 
 
+def reconfigure(discovery: Discovery) -> None:
+    """Take up the replaced configuration file: where discovery is. What cannot be read changes nothing."""
+    try:
+        discovery.move(load(os.environ).discovery)
+    except ConfigError as problem:
+        log.warning("the configuration stays as it was: %s", problem)
+
+
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -7,7 +7,7 @@
 import logging
 
 from cranespindle import api
-from cranespindle.node.config import Config, HostList, host_list
+from cranespindle.node.config import Address, Config, HostList, host_list
 from cranespindle.node.host import Host
 from cranespindle.node.upstream import Answer, Connection
 
@@ -50,6 +50,19 @@
         elif on and (self._watcher is None or self._watcher.done()):
             self._watcher = self._loop.create_task(self._watch())
 
+    def move(self, address: Address) -> None:
+        """Go on at another address. The old one hangs up soon, and need not answer until then."""
+        log.info("discovery is now at %s:%d", *address)
+        self._address = address
+        if self._connection is not None:
+            self._connection.close()
+        if self._watcher is not None and not self._watcher.done():
+            self.watch(False)
+            self.watch(True)
+        if self._fetcher is not None and not self._fetcher.done():
+            self._fetcher.cancel()
+            self._fetcher = self._loop.create_task(self._fetch())
+
     def fetch(self) -> None:
         if self._fetcher is None or self._fetcher.done():
             self._fetcher = self._loop.create_task(self._fetch())
@@ -101,13 +114,8 @@
             async with asyncio.timeout(timeout):
                 answer = await self._exchange(request)
         except (OSError, TimeoutError) as problem:
-            self._drop()
             raise CallFailed(f"{type(problem).__name__} {problem}") from None
-        except asyncio.CancelledError:
-            self._drop()
-            raise
         if answer is None or answer.status != 200:
-            self._drop()
             raise CallFailed("no answer" if answer is None else f"status {answer.status}")
         try:
             return host_list(json.loads(answer.body), self._names)
@@ -115,25 +123,28 @@
             raise CallFailed(f"malformed list: {problem}") from None
 
     async def _exchange(self, request: bytes) -> Answer | None:
+        """Send a call and wait for its answer. Until then the connection is this call's alone."""
         connection, self._connection = self._connection, None
-        if connection is None or not connection.usable():
+        address = self._address
+        try:
+            if connection is None or not connection.usable():
+                if connection is not None:
+                    connection.close()
+                _, connection = await self._loop.create_connection(Connection, *address)
+            connection.body_most = LIST_MOST
+            answered: asyncio.Future[Answer | None] = self._loop.create_future()
+
+            def done(answer: Answer | None) -> None:
+                if not answered.done():
+                    answered.set_result(answer)
+
+            answer = await answered if connection.send(request, done) else None
+        except BaseException:
             if connection is not None:
                 connection.close()
-            host, port = self._address
-            _, connection = await self._loop.create_connection(Connection, host, port)
-        connection.body_most = LIST_MOST
-        self._connection = connection
-        answered: asyncio.Future[Answer | None] = self._loop.create_future()
-
-        def done(answer: Answer | None) -> None:
-            if not answered.done():
-                answered.set_result(answer)
-
-        if not connection.send(request, done):
-            return None
-        return await answered
-
-    def _drop(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+            raise
+        if answer is not None and answer.status == 200 and address == self._address:
+            self._connection = connection
+        else:
+            connection.close()
+        return answer
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
 from cranespindle.node.peers import Peers
 from cranespindle.node.upstream import SURPLUS_IDLE, Connection, Upstream, parse_report
 from tests.sidecar import (
+    SETTINGS,
     WAIT,
     Seen,
     always_ok,
@@ -528,6 +529,28 @@
 # ---- peers
 
 
+def test_a_watch_that_waits_goes_on_at_once_where_discovery_has_moved() -> None:
+    """The old address may stay silent: nothing waits for it."""
+
+    async def test() -> None:
+        asked = SETTINGS | {"Discovery": "on_request"}
+        async with (
+            endpoint(never) as old,
+            endpoint(never) as new,
+            sidecar("127.0.0.1:9", discovery=old.dial, settings=asked) as node,
+        ):
+            node.discovery.watch(True)
+            await old.arrived.wait()
+            host, _, port = new.dial.rpartition(":")
+            node.discovery.move((host, int(port)))
+            await new.arrived.wait()
+            await old.seen[0].left.wait()
+            assert new.seen[0].line == old.seen[0].line
+            assert not any(isinstance(e, api.EndpointList) and not e.kind for e in node.events)
+
+    run(test())
+
+
 def test_messages_go_to_a_peer_by_number_and_only_peers_are_heard() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,12 +13,22 @@
 
 import pytest
 
-from tests.sidecar import Client, Seen, configuration, dead_dial, endpoint, ok, request, run
+from tests.sidecar import Client, Seen, always_ok, configuration, dead_dial, endpoint, never, ok, request, run
 
 COMMAND = (sys.executable, "-m", "cranespindle")
 ROOT = Path(__file__).parent.parent
 
 
+async def connected(listen: str) -> Client:
+    """A client of a sidecar that may still be starting."""
+    host, _, port = listen.rpartition(":")
+    while True:
+        try:
+            return Client(*await asyncio.open_connection(host, int(port)))
+        except ConnectionError:
+            await asyncio.sleep(0.01)
+
+
 def test_a_stopped_sidecar_still_accepts_and_finishes_what_it_took(tmp_path: Path) -> None:
     async def test() -> None:
         go_on, all_here = asyncio.Event(), asyncio.Event()
@@ -38,22 +48,16 @@
             process = await asyncio.create_subprocess_exec(
                 *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
             )
-            host, _, port = listen.rpartition(":")
-            while True:
-                try:
-                    before = Client(*await asyncio.open_connection(host, int(port)))
-                    break
-                except ConnectionError:
-                    await asyncio.sleep(0.01)
+            before = await connected(listen)
             assert (await before.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
-            idle = Client(*await asyncio.open_connection(host, int(port)))
+            idle = await connected(listen)
             assert (await idle.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
             before.writer.write(request("post"))
             await served.arrived.wait()
             # Held still, it has the signal and the connection waiting, so no slow machine mixes them up.
             process.send_signal(signal.SIGSTOP)
             process.send_signal(signal.SIGTERM)
-            after = Client(*await asyncio.open_connection(host, int(port)))
+            after = await connected(listen)
             process.send_signal(signal.SIGCONT)
             after.writer.write(request("post"))
             await all_here.wait()
@@ -68,6 +72,33 @@
     run(test())
 
 
+def test_a_replaced_configuration_is_taken_up_on_sighup_without_a_break(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with (
+            endpoint(always_ok) as served,
+            endpoint(never) as old,
+            endpoint(never) as new,
+        ):
+            listen, file = dead_dial(), tmp_path / "config.json"
+            file.write_text(json.dumps(configuration(served.dial, listen=listen, discovery=old.dial)))
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
+            )
+            await old.arrived.wait()
+            file.write_text("{")
+            process.send_signal(signal.SIGHUP)  # a broken file changes nothing
+            file.write_text(json.dumps(configuration(served.dial, listen=listen, discovery=new.dial)))
+            process.send_signal(signal.SIGHUP)
+            await new.arrived.wait()
+            client = await connected(listen)
+            assert (await client.ask(request("post")))[0] == 200
+            process.terminate()
+            assert await client.ended()
+            assert await process.wait() == 0
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("change", "said"),
     [
