--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -284,9 +284,12 @@
             members = nsmallest(KEY_MEMBERS, members, key=lambda m: mix(m.base ^ key))
         return [m for m in members if not m.inflight] or members
 
-    def pick(self, side: int, request: Pending, now: int) -> Member | None:
-        """An idle member of the subset, the best of a few draws; else the less busy of two."""
+    def pick(self, side: int, far: bool, request: Pending, now: int) -> Member | None:
+        """An idle member, if need be across, the best of a few draws; else the less busy of two of either."""
         members = self.idle(side, request, now)
+        if far and (not members or members[0].inflight):
+            others = self.idle(1 - side, request, now)
+            members = others if others and not others[0].inflight else members + others
         if not members:
             return None
         drawn = self.choices(members, k=2 if members[0].inflight else IDLE_DRAWS)
@@ -558,14 +561,9 @@
             fitting = rate * (1 - DRAIN * min(2.0, self.pressure))
             if fitting < 1 - RISE:
                 share = min(RISE_MOST, 1 - fitting)
-                relieved = self.evidence
-                if self.order[1] and remote <= self.over and not self.home_out:
-                    self.crossing += share * (1 - self.crossing)  # the others take what is too much here
-                    relieved = [self.evidence[self.settings.zone]]
-                else:
-                    self.raise_cut(share)
+                self.raise_cut(share)
                 self.calm = 0
-                for evidence in relieved:  # count the sends as if this had held for them
+                for evidence in self.evidence:  # count the sends as if the new cut had held for them
                     evidence[SENT] *= 1 - share
         elif self.cut > 0:
             # Spells that feed on load end only at rest, so the first steps are small; lasting calm is room.
@@ -638,9 +636,7 @@
         far = self.may_cross(request.cls)
         side = int(far and (self.home_out or self.rand() < self.crossing))
         first = not request.attempts and not request.steps
-        member = (self.cold(side, now) if first else None) or self.pick(side, request, now)
-        if member is None and far and not side:
-            member = self.pick(1, request, now)
+        member = (self.cold(side, now) if first else None) or self.pick(side, far, request, now)
         if member is not None:
             self.launch(request, member, now)
         else:
