--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -287,7 +287,7 @@
     def pick(self, side: int, far: bool, request: Pending, now: int) -> Member | None:
         """An idle member, if need be across, the best of a few draws; else the less busy of two of either."""
         members = self.idle(side, request, now)
-        if far and (not members or members[0].inflight and not self.home_out):
+        if far and (not members or (members[0].inflight and not self.home_out)):
             others = self.idle(1 - side, request, now)
             members = others if others and not others[0].inflight else members + others
         if not members:
