Count failures towards ejection one after the other

One request of many times the usual work holds up all behind it; three that failed together ejected a running server for 2 to 20 s. 'Full' answers no longer count.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -79,8 +79,8 @@
     """An endpoint as this sidecar knows it."""
 
     __slots__ = (
-        "base", "cell", "ejections", "fails", "health", "heard", "id", "inflight", "out_until", "pace",
-        "rank", "share", "started", "streak", "zone",
+        "base", "cell", "ejections", "failed_at", "fails", "health", "heard", "id", "inflight", "out_until",
+        "pace", "rank", "share", "started", "streak", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Endpoint, rank: int) -> None:
@@ -97,7 +97,7 @@
         self.pace = 1.0  # its latency over the mean of its classes, smoothed
         self.fails = 0.0  # share of attempts that failed, smoothed
         self.heard = 0  # when it last answered; 0: not yet, so it counts as the mean of the others
-        self.streak = self.ejections = self.out_until = 0
+        self.streak = self.failed_at = self.ejections = self.out_until = 0
 
 
 class Pending:
@@ -394,8 +394,11 @@
             earned = self.gain[side] * (self.warmth(member, now) >= 1)
             self.credit[side] = min(1.0, self.credit[side] + earned)
             return
-        member.streak += 1
-        if outcome != Outcome.FULL and member.streak >= FAILS_TO_EJECT and member.out_until <= now:
+        # What was out when the last failure came in tells nothing new: one long request fails all behind it.
+        if outcome == Outcome.FULL or request is None or request.sent < member.failed_at:
+            return
+        member.streak, member.failed_at = member.streak + 1, now
+        if member.streak >= FAILS_TO_EJECT and member.out_until <= now:
             away = min(EJECT_FIRST << min(member.ejections, 8), EJECT_MOST)
             member.out_until = now + int(away * (0.75 + self.rand() / 2))
             member.ejections += 1
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -98,6 +98,27 @@
     assert b.balancer.members[failing].out_until
 
 
+def test_requests_that_fail_together_count_as_one_failure() -> None:
+    """One long request delays all behind it: that server is slow for a moment, not out of order."""
+    b = Bench(settings(max_attempts=1), servers=4)
+    members = b.balancer.members.values()
+    for failed in range(balance.FAILS_TO_EJECT):
+        assert not any(m.out_until for m in members), failed
+        sends = [b.sent() for _ in range(40)]
+        b.now += 500 * MS
+        for send in sends:
+            b.answer(send, api.Outcome.TIMEOUT, 500 * MS)
+    assert all(m.out_until for m in members)  # each of these was sent after the one before had failed
+
+
+def test_full_servers_are_not_ejected_for_a_failure_between() -> None:
+    b = Bench(settings(max_attempts=1), servers=4)
+    for i in range(200):
+        b.now += 5 * MS
+        b.answer(b.sent(), api.Outcome.FULL if i % 50 else api.Outcome.TIMEOUT, 3 * MS)
+    assert not any(m.out_until for m in b.balancer.members.values())
+
+
 @pytest.mark.parametrize("servers", [1, 3, 4, 7])
 def test_at_most_half_of_few_endpoints_are_ejected(servers: int) -> None:
     """Fewer endpoints than the subset has places: half of those there are stay in, so something is sent."""
