Count the module's times in mean aims, not in seconds

Cycle, time out of the subset and memory were made for aims of 400 to 600 ms; with aims of 100 to 150 ms 140 time-outs came before the cut moved, and it eased too late.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -18,9 +18,9 @@
 HOUR = 3600 * SECOND
 USER_LEVELS = 128  # from the write-up
 
-CYCLE = SECOND // 4  # a quarter of the write-up's: bursts of 3 s are over before slower cycles shed
+CYCLE = 0.5  # in mean aims, by which queues build: a burst is over before slower cycles shed
 CYCLE_COUNT = 2000  # or this many sends, as in the write-up
-CYCLE_MOST = 1.5 * SECOND  # a cycle short of evidence waits this long for more
+CYCLE_MOST = 3.0  # mean aims that a cycle short of evidence waits for more
 EVIDENCE = 3.0  # outcomes that a verdict needs, so that one late answer moves nobody
 EVIDENCE_POOLED = 0.5  # the same where peers share: what is pooled is a mean over many sidecars
 OVER_LEAST = 0.1  # mean wait, as a share of the class slack (aim less service), that counts as overload
@@ -37,14 +37,14 @@
 BASE_GUESS = 0.25  # before any answer it counts as this share: a start in overload must show at once
 SMOOTH = 0.25  # weight of a new sample in an endpoint's estimates
 LATENCY_KEEP = 0.95  # share of the class means' evidence kept from cycle to cycle: about 5 s worth
-FORGET = 24 * SECOND  # an estimate fades to the mean of the others in the time that slow spells last
+FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
 IDLE_DRAWS = 3  # idle members compared by expected time: one bad member in n is drawn once in n cubed
 SUBSET_LEAST = 4  # members of an almost idle sidecar where connections are priced
 SUBSET_FREE = 8  # and where they are not
 SUBSET_GROWTH = 1.5  # further members for each request in flight, so that one is idle
 SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 FAILS_TO_EJECT = 3  # failures in a row that eject a member
-EJECT_FIRST, EJECT_MOST = 2 * SECOND, 20 * SECOND  # first time out of the subset, doubled each time
+EJECT_FIRST, EJECT_MOST = 4.0, 40.0  # mean aims out of the subset, the first doubled each time
 EJECT_SHARE = 0.5  # at most this share of a subset is out: beyond that the trouble is shared
 RETRY_SHARE, RETRY_SAVED = 0.1, 5.0  # retry budget: share of sends, and how much of it may be saved up
 SPILL_STEP = 0.025  # change of the chance to cross zones, a cycle, for a difference that counts as overload
@@ -125,6 +125,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self.classes = settings.classes
+        self.aim = sum(c.aim for c in self.classes) / len(self.classes)
         rng = random.Random(seed)
         self.rand, self.sample, self.choices = rng.random, rng.sample, rng.choices
         self.salt = mix(settings.instance)  # the subset outlives a restart
@@ -186,7 +187,7 @@
     def on_attached(self, now: int, event: api.Attached) -> None:
         self.cycle_from = now
         self.ask_at = now + int(self.rand() * ASK_SPREAD * self.settings.ask_within)
-        self.out.append(api.SetTimer(1 + int(self.rand() * CYCLE), TICK))
+        self.out.append(api.SetTimer(1 + int(self.rand() * CYCLE * self.aim), TICK))
 
     def on_list(self, now: int, event: api.EndpointList) -> None:
         if event.kind == ListKind.FAILED:
@@ -253,7 +254,7 @@
             if warm == len(subset):
                 self.credit[side] = 0.0  # nothing saved up: a bulk restart would get it all at once
             elif not warm:  # from all sidecars together a request a second each, should none answer
-                trickle = len(self.order[side]) / self.settings.instances * CYCLE / SECOND
+                trickle = len(self.order[side]) / self.settings.instances * CYCLE * self.aim / SECOND
                 self.credit[side] = min(1.0, self.credit[side] + trickle)
 
     def warmth(self, member: Member, now: int) -> float:
@@ -265,7 +266,7 @@
         """Expected time of a request there, a failure counted as the whole aim; old news fade to the mean."""
         if not member.heard:
             return self.mean[cls]
-        fade = FORGET / (FORGET + max(0, now - member.heard))
+        fade = 1 / (1 + max(0, now - member.heard) / (FORGET * self.aim))
         return self.mean[cls] * (1 + (member.pace - 1) * fade) + member.fails * fade * self.classes[cls].aim
 
     def idle(self, side: int, request: Pending, now: int) -> list[Member]:
@@ -399,7 +400,7 @@
             return
         member.streak, member.failed_at = member.streak + 1, now
         if member.streak >= FAILS_TO_EJECT and member.out_until <= now:
-            away = min(EJECT_FIRST << min(member.ejections, 8), EJECT_MOST)
+            away = min(EJECT_FIRST * 2**member.ejections, EJECT_MOST) * self.aim
             member.out_until = now + int(away * (0.75 + self.rand() / 2))
             member.ejections += 1
             self.dirty = True
@@ -500,7 +501,7 @@
             if request is not None and not request.attempts:
                 self.decide(request, now)
             return
-        self.out.append(api.SetTimer(CYCLE, TICK))
+        self.out.append(api.SetTimer(int(CYCLE * self.aim), TICK))
         self.peak *= SUBSET_SHRINK
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
             self.peak = max(self.flying, self.peak)
@@ -519,7 +520,7 @@
                     self.witness(member, request, wait)
         enough = EVIDENCE_POOLED if self.settings.peers else EVIDENCE
         seen = sum(e[SEEN] for e in self.evidence)
-        if self.sends and seen < enough and now - self.cycle_from < CYCLE_MOST:
+        if self.sends and seen < enough and now - self.cycle_from < CYCLE_MOST * self.aim:
             self.tell()
             return
         self.steer(now)
@@ -556,7 +557,7 @@
         # as they even out. By the time passed, as sparse cycles are long.
         if self.order[1]:
             ahead = max(-0.5, min(2.0, (local - remote - self.settings.cross_price) / self.over))
-            step = SPILL_STEP * (now - self.cycle_from) / CYCLE * ahead
+            step = SPILL_STEP * (now - self.cycle_from) / (CYCLE * self.aim) * ahead
             self.crossing = min(1.0, max(0.0, self.crossing + step))
         if self.pressure > self.over:
             # Servers in arrears finish what they can do: sending that, less a part to drain their queues, is
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -98,6 +98,16 @@
     assert b.balancer.members[failing].out_until
 
 
+@pytest.mark.parametrize("aim", [125 * MS, 500 * MS])
+def test_the_time_out_of_the_subset_goes_with_the_aims(aim: int) -> None:
+    """Where requests are wanted four times sooner, a server is missed four times sooner."""
+    b = Bench(settings(request_class(aim=aim), max_attempts=1), servers=4)
+    for _ in range(40):
+        b.answer(b.sent(), api.Outcome.CONNECT_FAILED, MS)
+    out = [m.out_until - b.now for m in b.balancer.members.values() if m.out_until]
+    assert out and all(2 * aim < left < 10 * aim for left in out)
+
+
 def test_requests_that_fail_together_count_as_one_failure() -> None:
     """One long request delays all behind it: that server is slow for a moment, not out of order."""
     b = Bench(settings(max_attempts=1), servers=4)
@@ -406,7 +416,7 @@
         send = b.sent()
         b.answer(send, api.Outcome.CONNECT_FAILED if send.endpoint in home else api.Outcome.OK, 3 * MS)
     assert not {b.sent().endpoint for _ in range(20)} & home
-    b.now += 2 * balance.EJECT_FIRST
+    b.now += int(2 * balance.EJECT_FIRST * b.balancer.aim)
     b.tick(0.25)
     assert b.sent().endpoint in home  # their time out is over
 
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -111,6 +111,14 @@
     b.tick()
 
 
+@pytest.mark.parametrize("aim", [125 * MS, 500 * MS])
+def test_a_cycle_goes_with_the_aims(aim: int) -> None:
+    """A queue that takes a whole aim to build is seen before it has built, whatever the aim."""
+    b = Bench(settings(request_class(aim=aim)))
+    [timer] = [a for a in b.tick() if isinstance(a, api.SetTimer)]
+    assert aim / 4 <= timer.delay < aim
+
+
 def test_time_outs_and_full_raise_the_cut() -> None:
     for outcome in (api.Outcome.TIMEOUT, api.Outcome.FULL):
         b = bench()
