--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -542,17 +542,16 @@
         self.sends, self.cycle_from = 0, now
         self.cycles += 1
 
-    def view(self, own: bool) -> tuple[float, float]:
-        """Of the servers of this zone or of the others: mean wait over slack, and answers for each send."""
-        zone = self.settings.zone
-        parts = [e for z, e in enumerate(self.evidence) if (z == zone) == own]
-        waits, seen, sent, done = (sum(e[i] for e in parts) for i in range(4))
+    def view(self, *zones: int) -> tuple[float, float]:
+        """Of the servers of these zones: mean wait over slack, and answers for each send."""
+        waits, seen, sent, done = (sum(self.evidence[z][i] for z in zones) for i in range(4))
         return (waits / seen if seen > 0.5 else 0.0), (done / sent if sent > 0.5 else 1.0)
 
     def steer(self, now: int) -> None:
         """Move the cut, and before it the share that crosses zones where that has a price."""
-        (remote, _), (local, rate) = self.view(False), self.view(not self.home_out)
-        self.pressure = local + (remote - local) * self.crossing
+        zones, home = range(len(self.evidence)), self.settings.zone
+        self.pressure, rate = self.view(*zones)  # over the sends, wherever they went
+        (local, _), (remote, _) = self.view(home), self.view(*(z for z in zones if z != home))
         # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, and home
         # as they even out. By the time passed, as sparse cycles are long.
         if self.order[1]:
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -168,6 +168,15 @@
     assert b.balancer.base[0] < 0.3 * aim < b.balancer.mean[0]
 
 
+def test_waits_count_wherever_the_traffic_went() -> None:
+    """All servers of the own zone have just restarted and are cold: what waits across is the overload."""
+    b = bench(zones=2)
+    b.balancer.spread[0] = 100.0
+    b.balancer.evidence = [[0.0, 0.0, 0.0, 0.0], [20.0, 20.0, 20.0, 10.0]]
+    b.balancer.steer(b.now)
+    assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
+
+
 def test_answers_that_outrun_sends_do_not_raise_the_cut_again() -> None:
     """While queues drain, answers to old sends are late; each once raised the cut further."""
     b = bench()
