Take an ejected endpoint that is kept in for no idle one

The cap keeps some ejected endpoints in the subset; never busy with our requests they passed for idle and drew the most.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -156,7 +156,7 @@
         self.latency = [[0.0, 0.0] for _ in self.classes]  # summed over the aim, and count; shared with peers
         self.mean = [0.0] * len(self.classes)  # mean latency over some seconds
         self.base = [0.0] * len(self.classes)  # latency without wait: the mean's slowly rising minimum
-        self.crossing, self.home_out = 0.0, False  # out: all endpoints of this zone, not all of the others
+        self.crossing = 0.0
         # cut
         worths = {c.worth for c in self.classes}
         ranks = {worth: i for i, worth in enumerate(sorted(worths))}
@@ -236,7 +236,6 @@
     def refill(self, now: int) -> None:
         self.dirty = False
         size = self.size()
-        self.home_out = [all(m.out_until > now for m in side) for side in self.order] == [True, False]
         for side in (0, 1):
             subset: list[Member] = []
             out, filled, most_out = 0, 0.0, EJECT_SHARE * min(size, len(self.order[side]))
@@ -270,10 +269,8 @@
         return self.mean[cls] * (1 + (member.pace - 1) * fade) + member.fails * fade * self.classes[cls].aim
 
     def idle(self, side: int, request: Pending, now: int) -> list[Member]:
-        """The warm members that may have the request: those with none of ours in flight, else all.
-
-        Where keys are warm on servers that met them, all sidecars take the same few members for a key.
-        """
+        """The warm members that may have the request: those that are free, else all. Where keys are warm on
+        servers that met them, all sidecars take the same few members for a key."""
         cls, key = self.classes[request.cls], request.key if self.settings.warm_keys else 0
         within = request.ran if cls.effect == Effect.KEYED else None
         members = [
@@ -283,18 +280,18 @@
         ]  # fmt: skip
         if key:
             members = nsmallest(KEY_MEMBERS, members, key=lambda m: mix(m.base ^ key))
-        return [m for m in members if not m.inflight] or members
+        return [m for m in members if free(m, now)] or members
 
     def pick(self, side: int, far: bool, request: Pending, now: int) -> Member | None:
         """An idle member, if need be across, the best of a few draws; else the less busy of two of either."""
         members = self.idle(side, request, now)
-        if far and (not members or (members[0].inflight and not self.home_out)):
+        if far and not (members and free(members[0], now)):
             others = self.idle(1 - side, request, now)
-            members = others if others and not others[0].inflight else members + others
+            members = others if others and free(others[0], now) else members + others
         if not members:
             return None
-        drawn = self.choices(members, k=2 if members[0].inflight else IDLE_DRAWS)
-        return min(drawn, key=lambda m: (m.inflight, self.expected(m, request.cls, now)))
+        drawn = self.choices(members, k=IDLE_DRAWS if free(members[0], now) else 2)
+        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, request.cls, now)))
 
     def cold(self, side: int, now: int) -> Member | None:
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
@@ -637,7 +634,7 @@
         if self.dirty:
             self.refill(now)
         far = self.may_cross(request.cls)
-        side = int(far and (self.home_out or self.rand() < self.crossing))
+        side = int(far and self.rand() < self.crossing)
         first = not request.attempts and not request.steps
         member = (self.cold(side, now) if first else None) or self.pick(side, far, request, now)
         if member is not None:
@@ -713,6 +710,11 @@
         self.pending.pop(event.id, None)
 
 
+def free(member: Member, now: int) -> bool:
+    """Whether none of ours is in flight there. One that is out, and kept as too many are, is no idle one."""
+    return not member.inflight and member.out_until <= now
+
+
 def same(one: Member, other: Member, scope: int) -> bool:
     """Whether two endpoints drop each other's repeats of a keyed request."""
     near = one.zone == other.zone and (scope == Scope.ZONE or one.cell == other.cell)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -414,13 +414,38 @@
     home = {endpoint(n).id for n in range(1, 4)}
     for _ in range(60):
         send = b.sent()
-        b.answer(send, api.Outcome.CONNECT_FAILED if send.endpoint in home else api.Outcome.OK, 3 * MS)
-    assert not {b.sent().endpoint for _ in range(20)} & home
+        b.answer(send, api.Outcome.CONNECT_FAILED if send.endpoint in home else api.Outcome.OK, 200 * MS)
+    for _ in range(20):
+        send = b.sent()
+        assert send.endpoint not in home
+        b.answer(send, took=200 * MS)
     b.now += int(2 * balance.EJECT_FIRST * b.balancer.aim)
     b.tick(0.25)
     assert b.sent().endpoint in home  # their time out is over
 
 
+def test_an_endpoint_that_is_out_but_kept_is_no_idle_one() -> None:
+    """Four of six refuse connections: three are left out, and the fourth is never busy with our requests."""
+    b = Bench(settings(max_attempts=1), servers=6)
+    dead = {endpoint(n).id for n in range(1, 5)}
+    for _ in range(100):
+        send = b.sent()
+        if send.endpoint in dead:
+            b.answer(send, api.Outcome.CONNECT_FAILED, MS)
+        else:
+            b.answer(send)
+    assert len({m.id for m in b.balancer.subset[0]} & dead) == 1
+    for _ in range(2):
+        b.sent()  # the two that are up are busy
+    failed = 0
+    for _ in range(40):
+        send = b.sent()
+        if send.endpoint in dead:
+            failed += 1
+            b.answer(send, api.Outcome.CONNECT_FAILED, MS)
+    assert failed <= 10
+
+
 def test_failed_connects_bring_traffic_home() -> None:
     """A zone that is cut off shows no waits: by their difference alone it would draw ever more."""
     b = Bench(settings(zones=2), servers=0)
