--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -144,8 +144,7 @@
         # subset
         self.order: list[list[Member]] = [[], []]  # ready endpoints by rank: of this zone, of others
         self.subset: list[list[Member]] = [[], []]
-        self.warm, self.gain = [0, 0], [0.0, 0.0]  # warm members of each, and the credit for an answer of one
-        self.credit = [0.0, 0.0]  # sends to cold members that the answers of warm ones have earned
+        self.credit, self.gain = 0.0, 0.0  # sends to cold members, and what the answer of a warm one earns
         self.peak, self.flying = 0.0, 0
         self.dirty = True
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
@@ -248,13 +247,14 @@
                     subset.append(member)
                     filled += self.warmth(member, now)  # a cold member fills a part of a place
             self.subset[side] = subset
-            self.warm[side] = warm = sum(self.warmth(m, now) >= 1 for m in subset)
-            self.gain[side] = (filled - warm) / max(1, warm)
-            if warm == len(subset):
-                self.credit[side] = 0.0  # nothing saved up: a bulk restart would get it all at once
-            elif not warm:  # from all sidecars together a request a second each, should none answer
-                trickle = len(self.order[side]) / self.settings.instances * CYCLE * self.aim / SECOND
-                self.credit[side] = min(1.0, self.credit[side] + trickle)
+        warmths = [self.warmth(m, now) for subset in self.subset for m in subset]
+        warm = sum(warmth >= 1 for warmth in warmths)
+        self.gain = (sum(warmths) - warm) / max(1, warm)
+        if warm == len(warmths):
+            self.credit = 0.0  # nothing saved up: a bulk restart would get it all at once
+        elif not warm:  # from all sidecars together a request each in two mean aims, should none answer
+            fair = sum(map(len, self.order)) / self.settings.instances
+            self.credit = min(1.0, self.credit + fair * CYCLE / 2)
 
     def warmth(self, member: Member, now: int) -> float:
         """The share of its work that an endpoint can do at least, by the time since its start."""
@@ -293,20 +293,20 @@
         drawn = self.choices(members, k=IDLE_DRAWS if free(members[0], now) else 2)
         return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, request.cls, now)))
 
-    def cold(self, side: int, now: int) -> Member | None:
+    def cold(self, far: bool, now: int) -> Member | None:
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
 
         All sidecars together then send it no more than that part of what a server can do, whoever else is
         busy, out or cold. A part of what is sent would be far too much once many restart, or in a storm of
         retries. Only first attempts: further ones come in bursts. With no warm member there is a trickle.
         """
-        cold = [m for m in self.subset[side] if self.warmth(m, now) < 1]
-        if not cold or self.credit[side] < 1:
+        cold = [m for subset in self.subset[: 1 + far] for m in subset if self.warmth(m, now) < 1]
+        if not cold or self.credit < 1:
             return None
         [member] = self.choices(cold, weights=[self.warmth(m, now) for m in cold])
         if member.inflight:
             return None
-        self.credit[side] -= 1
+        self.credit -= 1
         return member
 
     def may_cross(self, cls: int) -> bool:
@@ -326,7 +326,7 @@
         if request.steps >= ASK_STEPS or request.expires - now < STILL_MOST:
             return False
         far = self.may_cross(request.cls) and (request.steps > 0 or self.rand() < self.crossing)
-        if not request.steps and (cold := self.cold(int(far), now)):
+        if not request.steps and (cold := self.cold(self.may_cross(request.cls), now)):
             self.launch(request, cold, now)
             return True
         for side in (0, 1) if far and request.steps else (int(far),):
@@ -388,9 +388,7 @@
         member.heard = now
         if not failed:
             member.streak = member.ejections = 0
-            side = member.zone != self.settings.zone
-            earned = self.gain[side] * (self.warmth(member, now) >= 1)
-            self.credit[side] = min(1.0, self.credit[side] + earned)
+            self.credit = min(1.0, self.credit + self.gain * (self.warmth(member, now) >= 1))
             return
         # What was out when the last failure came in tells nothing new: one long request fails all behind it.
         if outcome == Outcome.FULL or request is None or request.sent < member.failed_at:
@@ -636,7 +634,7 @@
         far = self.may_cross(request.cls)
         side = int(far and self.rand() < self.crossing)
         first = not request.attempts and not request.steps
-        member = (self.cold(side, now) if first else None) or self.pick(side, far, request, now)
+        member = (self.cold(far, now) if first else None) or self.pick(side, far, request, now)
         if member is not None:
             self.launch(request, member, now)
         else:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -172,6 +172,15 @@
     assert 0 < sent[True] <= fair * warmth * 1.3
 
 
+def test_cold_endpoints_earn_by_the_answers_of_warm_ones_in_either_zone() -> None:
+    """A zone that has restarted as a whole has no warm one to earn by, and stayed idle until it was warm."""
+    b = Bench(settings(zones=2, zone=1), servers=0)
+    b.list_of(*(endpoint(n, zone=n // 5, started=START - SECOND if n < 5 else 0) for n in range(1, 9)))
+    sent = Counter(answered(b)[0] < 5 for _ in range(200))
+    fair, warmth = 200 / 8, 0.3 + 0.7 / 8
+    assert 2 * fair * warmth < sent[True] <= 200 * warmth
+
+
 def test_with_no_warm_member_cold_ones_get_a_trickle() -> None:
     odd = Bench(settings(), servers=0)
     odd.list_of(endpoint(1, started=START + 9 * SECOND))  # a start in the future: just started
