--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -28,7 +28,7 @@
     """Serve until SIGTERM or SIGINT; then finish what was taken."""
     loop = asyncio.get_running_loop()
     host = Host(config, loop, Clock())
-    frontend = Frontend(config, host)
+    frontend = Frontend(config, host, loop)
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -17,6 +17,8 @@
 from cranespindle.node.upstream import BODY_MOST, HEAD_MOST, Answer, Headers
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
+# A peer that sends no whole request is owed an error or a close within 3 s; no client takes so long over one.
+REQUEST_WITHIN = 2.0
 # What concerns one connection only, or is written anew.
 HOP_BY_HOP = frozenset(
     (
@@ -81,6 +83,7 @@
         self._exchanges: deque[Exchange] = deque()
         self._ended = False  # nothing more is read
         self._clogged = False  # the client does not read its answers
+        self._overdue: asyncio.TimerHandle | None = None  # while a request is awaited or has come in part
         self._begin()
 
     @property
@@ -91,6 +94,11 @@
     def owed(self) -> bool:
         return bool(self._exchanges)
 
+    @property
+    def _full(self) -> bool:
+        """Whether nothing more is read until answers have left."""
+        return self._clogged or len(self._exchanges) >= PIPELINE_MOST
+
     def _begin(self) -> None:
         self._url = b""
         self._headers: Headers = []
@@ -102,11 +110,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.Transport, transport)
+        self._await_request()
         self.frontend.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._ended = True
+        self._in_time()
         self.frontend.closed(self)
         for exchange in self._exchanges:
             if exchange.answer is None:
@@ -121,6 +131,28 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._ended:
                 self._reject(self._error or BadRequest(400, "malformed request"))
+        if self._reading and self._overdue is None and not self._ended:
+            self._await_request()
+
+    def _await_request(self) -> None:
+        self._overdue = self.frontend.loop.call_later(REQUEST_WITHIN, self._give_up)
+
+    def _in_time(self) -> None:
+        if self._overdue is not None:
+            self._overdue.cancel()
+            self._overdue = None
+
+    def _give_up(self) -> None:
+        """No whole request has come in time: what has begun gets an error, and the connection ends."""
+        self._overdue = None
+        if self._ended:
+            return
+        if self._full:  # the wait is ours, not the peer's
+            self._await_request()
+        elif self._reading:
+            self._reject(BadRequest(408, "the request took too long"))
+        else:
+            self.close()
 
     def _reject(self, error: BadRequest) -> None:
         """Answer what can't be read any further, in its turn, and end the connection."""
@@ -145,8 +177,7 @@
 
     def _read_on(self) -> None:
         """Read again, unless requests or answers pile up."""
-        full = self._clogged or len(self._exchanges) >= PIPELINE_MOST
-        if self._transport is not None and not self._ended and not full:
+        if self._transport is not None and not self._ended and not self._full:
             self._transport.resume_reading()
 
     def pause_writing(self) -> None:
@@ -199,6 +230,7 @@
         self._reading = False
         if self._ended:
             return
+        self._in_time()
         exchange = Exchange(self, last=not self._parser.should_keep_alive())
         self._exchanges.append(exchange)
         if len(self._exchanges) >= PIPELINE_MOST and self._transport is not None:
@@ -220,8 +252,8 @@
 
 
 class Frontend:
-    def __init__(self, config: Config, host: Host) -> None:
-        self.host = host
+    def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
+        self.host, self.loop = host, loop
         self.draining = False
         self._drained = asyncio.Event()
         self._most = config.sockets // 3
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -155,7 +155,7 @@
             return handle(now, event)
 
         self.host._balancer.handle = watched  # type: ignore[method-assign]
-        self.frontend = Frontend(self.config, self.host)
+        self.frontend = Frontend(self.config, self.host, loop)
         self.discovery = Discovery(self.config, self.host, loop)
         self.host.start(self.config.known)
         self.server = await loop.create_server(lambda: ClientConnection(self.frontend), "127.0.0.1", 0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -296,6 +296,23 @@
     run(test())
 
 
+def test_a_peer_that_sends_no_whole_request_is_not_kept() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            proper, silent, slow = [await node.client() for _ in range(3)]
+            assert (await proper.ask(request()))[0] == 200
+            late = await node.client()
+            late.writer.write(request() + request()[:-2])  # one whole, and a part of the next
+            slow.writer.write(request()[:-2])
+            assert await silent.ended()
+            assert (await slow.answer())[0] == 408 and await slow.ended()
+            assert [(await late.answer())[0] for _ in range(2)] == [200, 408] and await late.ended()
+            assert (await proper.ask(request()))[0] == 200  # a client between two requests stays
+            assert len(served.seen) == 3
+
+    run(test())
+
+
 def test_requests_split_into_bytes_and_pipelined_ones_are_answered_in_order() -> None:
     async def test() -> None:
         first_may_end = asyncio.Event()
