--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -395,7 +395,7 @@
             return
         member.streak, member.failed_at = member.streak + 1, now
         if member.streak >= FAILS_TO_EJECT and member.out_until <= now:
-            away = min(EJECT_FIRST * 2**member.ejections, EJECT_MOST) * self.aim
+            away = min(EJECT_FIRST * 2 ** min(member.ejections, 8), EJECT_MOST) * self.aim
             member.out_until = now + int(away * (0.75 + self.rand() / 2))
             member.ejections += 1
             self.dirty = True
@@ -546,7 +546,7 @@
         """Move the cut, and before it the share that crosses zones where that has a price."""
         zones, home = range(len(self.evidence)), self.settings.zone
         self.pressure, rate = self.view(*zones)  # over the sends, wherever they went
-        (local, _), (remote, _) = self.view(home), self.view(*(z for z in zones if z != home))
+        local, remote = (self.view(*(z for z in zones if (z == home) == own))[0] for own in (True, False))
         # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, and home
         # as they even out. By the time passed, as sparse cycles are long.
         if self.order[1]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -108,6 +108,20 @@
     assert out and all(2 * aim < left < 10 * aim for left in out)
 
 
+def test_an_endpoint_may_stay_dead_for_ever() -> None:
+    """Its time out doubles only up to the most: a thousand doublings are no number any more."""
+    b = Bench(settings(max_attempts=1), servers=2)
+    dead = next(iter(b.balancer.members.values()))
+    for _ in range(1500):
+        b.now = max(b.now, dead.out_until) + 1
+        b.tick(0)
+        request = balance.Pending(api.Request(0, 0, 0, 0, b.now + SECOND, 0, False), b.now)
+        request.sent = b.now
+        b.balancer.learn(dead, api.Completed(0, 0, dead.id, api.Outcome.RESET, 1, False, ()), request, b.now)
+    assert dead.ejections > 1100
+    assert b.now < dead.out_until <= b.now + int(1.25 * balance.EJECT_MOST * b.balancer.aim)
+
+
 def test_requests_that_fail_together_count_as_one_failure() -> None:
     """One long request delays all behind it: that server is slow for a moment, not out of order."""
     b = Bench(settings(max_attempts=1), servers=4)
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -168,6 +168,13 @@
     assert b.balancer.base[0] < 0.3 * aim < b.balancer.mean[0]
 
 
+def test_a_zone_of_its_own_that_the_settings_lack_ends_nothing() -> None:
+    b = bench(zones=1, zone=3)
+    feed(b, 0, 20)
+    b.tick()
+    assert isinstance(b.ask(), api.Send)
+
+
 def test_waits_count_wherever_the_traffic_went() -> None:
     """All servers of the own zone have just restarted and are cold: what waits across is the overload."""
     b = bench(zones=2)
