Judge the answers of cold servers by their warmth, not as waits

Trace by server: cold ones answer in 137 ms, warm ones in 63 ms, a quarter of the sends goes to cold ones; their slow work alone held the pressure at the bound (0.29 of 0.35). Ruled out: queues at warm servers (latency as before the loss) and time-outs there (1 to 5 a second).

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -402,10 +402,11 @@
 
     def measure(self, member: Member, took: int, outcome: int, request: Pending) -> None:
         """Put an outcome into the class means, the endpoint's pace and this cycle's evidence of waiting."""
-        cls = request.cls
+        cls, warmth = request.cls, self.warmth(member, request.sent)
         aim = self.classes[cls].aim
+        took = int(took * warmth)  # a cold one works longer: that is no queue
         if outcome in (Outcome.TIMEOUT, Outcome.FULL):
-            wait = 1.0
+            wait = warmth
         elif outcome != Outcome.OK:
             # A dead or erring endpoint says nothing of load: it must not shed what the others can serve.
             self.evidence[member.zone][SENT] -= 1
@@ -510,7 +511,8 @@
             member, aim = request.member, self.classes[request.cls].aim
             if member:
                 base = self.base[request.cls] or aim * BASE_GUESS
-                wait = min(1.0, (now - request.sent - base) / (aim - base))
+                lasted = (now - request.sent) * self.warmth(member, request.sent)
+                wait = min(1.0, (lasted - base) / (aim - base))
                 if wait > self.over and wait > request.counted:
                     self.witness(member, request, wait)
         enough = EVIDENCE_POOLED if self.settings.peers else EVIDENCE
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cranespindle import api, balance
-from tests.helpers import MS, SECOND, Bench, request_class, settings
+from tests.helpers import MS, SECOND, Bench, endpoint, request_class, settings
 
 LOW, HIGH = request_class(worth=1.0), request_class(worth=5.0)
 
@@ -184,6 +184,37 @@
     assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
 
 
+def test_the_slow_service_of_a_cold_server_is_no_wait() -> None:
+    """Once many have restarted, their work takes longer though nothing waits there: that sheds nothing."""
+    b = bench(cold_from=0.17, cold_for=24 * SECOND)
+    started = b.now
+    b.list_of(endpoint(1), *(endpoint(n, started=started) for n in range(2, 14)))
+    cold = 0
+    for _ in range(8):
+        for _ in range(10):
+            send = b.sent()
+            warmth = b.balancer.warmth(b.balancer.members[send.endpoint], b.now)
+            cold += warmth < 1
+            b.answer(send, took=int(50 * MS / warmth))
+        b.tick(0.25)
+    assert cold > 20
+    assert abs(b.balancer.pressure) < 0.05 and b.balancer.cut == 0
+    assert b.balancer.mean[0] == pytest.approx(50 * MS, rel=0.1)
+
+
+def test_a_time_out_at_a_cold_server_counts_by_its_warmth() -> None:
+    pressures = []
+    for age in (1, 24):
+        b = bench(cold_from=0.2, cold_for=24 * SECOND)
+        b.list_of(*(endpoint(n + 1, started=b.now - age * SECOND) for n in range(6)))
+        for _ in range(6):
+            b.tick(0.25)
+            if isinstance(send := b.ask(), api.Send):
+                b.answer(send, api.Outcome.TIMEOUT, took=500 * MS)
+        pressures.append(max(e[balance.WAITS] / e[balance.SEEN] for e in b.balancer.evidence))
+    assert 0 < pressures[0] < pressures[1] / 2
+
+
 def test_answers_that_outrun_sends_do_not_raise_the_cut_again() -> None:
     """While queues drain, answers to old sends are late; each once raised the cut further."""
     b = bench()
