Pick the quickest of all idle members, not the best of three draws

Each sidecar has to meet a bad server to know it, and pick() draws three of some 15 idle members, so those that know draw it again. Wrong line: IDLE_DRAWS in pick().

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -38,7 +38,6 @@
 SMOOTH = 0.25  # weight of a new sample in an endpoint's estimates
 LATENCY_KEEP = 0.95  # share of the class means' evidence kept from cycle to cycle: about 5 s worth
 FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
-IDLE_DRAWS = 3  # idle members compared by expected time: one bad member in n is drawn once in n cubed
 SUBSET_LEAST = 4  # members of an almost idle sidecar where connections are priced
 SUBSET_FREE = 8  # and where they are not
 SUBSET_GROWTH = 1.5  # further members for each request in flight, so that one is idle
@@ -283,14 +282,14 @@
         return [m for m in members if free(m, now)] or members
 
     def pick(self, side: int, far: bool, request: Pending, now: int) -> Member | None:
-        """An idle member, if need be across, the best of a few draws; else the less busy of two of either."""
+        """The quickest idle member, if need be across; else the less busy of two of either."""
         members = self.idle(side, request, now)
         if far and not (members and free(members[0], now)):
             others = self.idle(1 - side, request, now)
             members = others if others and free(others[0], now) else members + others
         if not members:
             return None
-        drawn = self.choices(members, k=IDLE_DRAWS if free(members[0], now) else 2)
+        drawn = self.sample(members, len(members)) if free(members[0], now) else self.choices(members, k=2)
         return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, request.cls, now)))
 
     def cold(self, far: bool, now: int) -> Member | None:
