--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -40,7 +40,7 @@
 FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
 SUBSET_LEAST = 4  # members of an almost idle sidecar where connections are priced
 SUBSET_FREE = 8  # and where they are not
-SUBSET_GROWTH = 1.5  # further members for each request in flight, so that one is idle
+SUBSET_GROWTH = 1.5  # further members for each request in flight, over all zones, so that one is idle
 SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 FAILS_TO_EJECT = 3  # failures in a row that eject a member
 EJECT_FIRST, EJECT_MOST = 4.0, 40.0  # mean aims out of the subset, the first doubled each time
@@ -229,7 +229,8 @@
 
     def size(self) -> int:
         priced = self.settings.connection_price + self.settings.handshake_price > 0
-        return (SUBSET_LEAST if priced else SUBSET_FREE) + int(SUBSET_GROWTH * self.peak)
+        sides = max(1, sum(map(bool, self.order)))
+        return (SUBSET_LEAST if priced else SUBSET_FREE) + int(SUBSET_GROWTH * self.peak / sides)
 
     def refill(self, now: int) -> None:
         self.dirty = False
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -29,6 +29,22 @@
     assert len(b.balancer.subset[0]) > balance.SUBSET_LEAST + 10
 
 
+def test_the_subset_grows_once_for_all_zones() -> None:
+    """Grown in each zone, it held more members than a sidecar with little traffic gets to know."""
+    sizes = []
+    for zones in (1, 2):
+        b = Bench(settings(zones=zones, probes=False), servers=0)
+        b.list_of(*(endpoint(n, zone=n % zones) for n in range(1, 81)))
+        b.sent()
+        least = sum(map(len, b.balancer.subset))
+        for _ in range(16):
+            b.sent()
+        b.tick(0.01)
+        b.sent()
+        sizes.append(sum(map(len, b.balancer.subset)) - least)
+    assert sizes[0] >= 16 and sizes[1] == pytest.approx(sizes[0], abs=1)
+
+
 def test_list_changes_move_little_of_the_subset() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
     b.sent()
