--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -290,8 +290,8 @@
             members = others if others and free(others[0], now) else members + others
         if not members:
             return None
-        drawn = self.sample(members, len(members)) if free(members[0], now) else self.choices(members, k=2)
-        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, request.cls, now)))
+        cls, drawn = request.cls, members if free(members[0], now) else self.choices(members, k=2)
+        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, cls, now), self.rand()))
 
     def cold(self, far: bool, now: int) -> Member | None:
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
