--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -291,7 +291,8 @@
         if not members:
             return None
         cls, drawn = request.cls, members if free(members[0], now) else self.choices(members, k=2)
-        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, cls, now), self.rand()))
+        rand = self.rand  # decides where nothing is known yet
+        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, cls, now), rand()))
 
     def cold(self, far: bool, now: int) -> Member | None:
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
@@ -304,10 +305,8 @@
         if not cold or self.credit < 1:
             return None
         [member] = self.choices(cold, weights=[self.warmth(m, now) for m in cold])
-        if member.inflight:
-            return None
-        self.credit -= 1
-        return member
+        self.credit -= not member.inflight
+        return None if member.inflight else member
 
     def may_cross(self, cls: int) -> bool:
         """A crossing is worth its price only for requests worth more than it."""
