--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -76,7 +76,7 @@
                     f"?from={self._seq}&hold_ms={self._hold * 1000:.0f}", self._hold + self._grace
                 )
             except CallFailed as problem:
-                log.debug("discovery: %s", problem)
+                self._failed(problem)
                 if not self._pushed:
                     self._watcher = None
                     self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
@@ -90,9 +90,17 @@
         try:
             self._take(await self._call("", CALL_TIMEOUT))
         except CallFailed as problem:
-            log.debug("discovery: %s", problem)
+            self._failed(problem)
             self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
 
+    def _failed(self, problem: CallFailed) -> None:
+        log.debug("discovery: %s", problem)
+        self._count("lists_failed")
+
+    def _count(self, name: str) -> None:
+        if not self._pushed:  # calls to an agent of its own cost the fleet nothing
+            self._host.count(name)
+
     def _take(self, told: HostList) -> bool:
         """Pass a list on; whether it held anything new."""
         if not told.whole and not told.hosts:
@@ -109,6 +117,7 @@
 
     async def _call(self, query: str, timeout: float) -> HostList:
         host, port = self._address
+        self._count("lists_asked")
         request = f"GET /discovery/hosts{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
         try:
             async with asyncio.timeout(timeout):
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -87,7 +87,8 @@
         self._settings = config.settings
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
-        self.upstream = Upstream(config, loop, clock.now)
+        self._counts: Counter[str] = Counter()  # since the last status line
+        self.upstream = Upstream(config, loop, clock.now, self.count)
         self._open: dict[int, Open] = {}
         self._last_id = 0
         self._events: deque[api.Event] = deque()
@@ -104,7 +105,6 @@
         self.fetch: Callable[[], None] = lambda: None
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
-        self._counts: Counter[str] = Counter()  # since the last status line
         self._took = 0  # by the attempts served since then
 
     # ---- events
@@ -141,6 +141,10 @@
         for action in actions:
             self._actions[type(action)](action)
 
+    def count(self, name: str) -> None:
+        """Count what the fleet pays for together, such as a handshake or a call to discovery."""
+        self._counts[name] += 1
+
     def _status(self) -> None:
         """One line for on-call: what came and went since the last, and how the decisions stand."""
         self._loop.call_later(STATUS_EVERY, self._status)
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -247,8 +247,14 @@
 
 
 class Upstream:
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, now: Callable[[], int]) -> None:
-        self.loop, self._now = loop, now
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        now: Callable[[], int],
+        count: Callable[[str], None],
+    ) -> None:
+        self.loop, self._now, self._count = loop, now, count
         self._idle_most = int(config.idle_limit * IDLE_SHARE)
         self._connect_timeout = config.connect_timeout / SECOND
         self._fields = config.settings.report_fields
@@ -377,6 +383,7 @@
 
         connection = Connection(lost)
         self._open += 1
+        self._count("handshakes")
         host, port = pool.dial
         try:
             async with asyncio.timeout(self._connect_timeout):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -378,7 +378,7 @@
         async with endpoint(always_ok) as served:
             now = [SECOND]
             told = config.parse(configuration(served.dial))
-            upstream = Upstream(told, asyncio.get_running_loop(), lambda: now[0])
+            upstream = Upstream(told, asyncio.get_running_loop(), lambda: now[0], lambda name: None)
             upstream.learn(told.known.hosts, whole=True)
             [pool] = upstream._pools.values()
             burst = [await upstream.connect(pool) for _ in range(3)]
@@ -412,7 +412,7 @@
                         await asyncio.sleep(0)
 
             told = config.parse(configuration(served.dial))
-            upstream = Upstream(told, Losing(), lambda: SECOND)  # type: ignore[arg-type]
+            upstream = Upstream(told, Losing(), lambda: SECOND, lambda name: None)  # type: ignore[arg-type]
             upstream.learn(told.known.hosts, whole=True)
             [pool] = upstream._pools.values()
             connection = await upstream.connect(pool)
@@ -543,6 +543,32 @@
     run(test())
 
 
+def test_what_the_fleet_pays_for_together_is_counted_for_the_status_line(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("cranespindle.node.host.STATUS_EVERY", 3600.0)  # no line takes the counts meanwhile
+
+    async def failing(seen: Seen) -> bytes:
+        return status(503)
+
+    async def test() -> None:
+        asked = SETTINGS | {"Discovery": "on_request"}
+        async with (
+            endpoint(always_ok) as served,
+            endpoint(failing) as list_service,
+            sidecar(served.dial, discovery=list_service.dial, settings=asked) as node,
+        ):
+            client = await node.client()
+            for _ in range(2):  # the second finds the connection of the first
+                assert (await client.ask(request()))[0] == 200
+            assert node.host._counts["handshakes"] == 1
+            node.discovery.fetch()
+            await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.FAILED)
+            assert node.host._counts["lists_asked"] == node.host._counts["lists_failed"] == 1
+
+    run(test())
+
+
 # ---- peers
 
 
