--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -4,22 +4,28 @@
 
 import asyncio
 import contextlib
+import ctypes
 import gc
 import logging
 import os
 import signal
+import socket
+import struct
 import sys
 
 import uvloop
 
-from cranespindle.node.config import SECOND, Config, ConfigError, load
+from cranespindle.node.config import SECOND, Address, Config, ConfigError, load
 from cranespindle.node.discovery import Discovery
 from cranespindle.node.frontend import ClientConnection, Frontend
 from cranespindle.node.host import Clock, Host
+from cranespindle.node.management import Management
 from cranespindle.node.peers import Peers
 
 ACCEPT_ON = 0.6  # after SIGTERM new connections come for 0.2 to 0.4 s more
 BACKLOG = 512
+SO_ATTACH_REUSEPORT_CBPF = 51  # as Linux numbers it; Python has no name for it
+RETURN_1 = struct.pack("HBBI", 0x06, 0, 0, 1)  # a classic BPF program of one instruction: "ret #1"
 
 log = logging.getLogger(__name__)
 
@@ -34,14 +40,20 @@
         loop.add_signal_handler(number, told_to_stop.set)
     if config.peer_listen is not None and config.settings.peers:
         await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
+    if config.mgmt is not None:
+        management = Management(lambda: frontend.ready, host.figures, config.callers_most)
+        await management.listen(loop, config.mgmt)
     host.start(config.known)
     discovery = Discovery(config, host, loop)
     discovery.start()
     loop.add_signal_handler(signal.SIGHUP, reconfigure, discovery)
-    server = await loop.create_server(lambda: ClientConnection(frontend), *config.listen, backlog=BACKLOG)
+    listener = shared_listener(config.listen)
+    server = await loop.create_server(lambda: ClientConnection(frontend), sock=listener, backlog=BACKLOG)
+    frontend.listening = True
     await told_to_stop.wait()
     # Answers close their connections from here on, so that clients leave as they are served.
     frontend.draining = True
+    steer_to_successor(listener)
     await asyncio.sleep(ACCEPT_ON)
     server.close()
     frontend.close_idle()
@@ -51,6 +63,34 @@
         await asyncio.wait_for(frontend.finished(), longest)
 
 
+def shared_listener(address: Address) -> socket.socket:
+    """The clients' address, bound so that a successor can listen there too."""
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        listener.bind(address)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def steer_to_successor(listener: socket.socket) -> None:
+    """Send new connections to the second process that listens here, which is the younger one.
+
+    What waits in a listener's queue is reset when it closes, so the queue has to be empty by then. Alone,
+    this process is the first and the kernel, finding no second, goes on giving it all. The program stays
+    with the address: a later successor gets the new connections as soon as it listens, and can serve them.
+    """
+    code = ctypes.create_string_buffer(RETURN_1)
+    program = struct.pack("HxxxxxxP", 1, ctypes.addressof(code))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
+    except OSError as problem:  # then both go on sharing them until this one's listener closes
+        log.warning("new connections cannot be steered to a successor: %s", problem)
+
+
 def reconfigure(discovery: Discovery) -> None:
     """Take up the replaced configuration file: where discovery is. What cannot be read changes nothing."""
     try:
--- a/cranespindle/node/config.py
+++ b/cranespindle/node/config.py
@@ -17,6 +17,7 @@
 
 SECOND = 1_000_000_000
 SOCKETS_MOST = 1024  # the least that a deployment allows, so never counted on for more
+OWN_SOCKETS = 16  # the listeners, the loop, discovery, the standard streams and the like
 _HEALTHS = {"up": api.Health.READY, "draining": api.Health.DRAINING, "removed": api.Health.GONE}
 
 
@@ -52,6 +53,7 @@
     name: str
     listen: Address
     discovery: Address
+    mgmt: Address | None  # where operators call
     seed: int
     sockets: int
     peer_listen: Address | None
@@ -64,6 +66,22 @@
     idle_limit: int  # endpoints close connections that stood idle this long
     known: HostList
 
+    # How the descriptors are shared out. A successor lives beside this process for a time, within the same
+    # limit: the clients' third serves both of them, as clients hold no more, and each gets half of the rest.
+
+    @property
+    def clients_most(self) -> int:
+        return max(1, self.sockets // 3)
+
+    @property
+    def callers_most(self) -> int:
+        return max(4, self.sockets // 32)
+
+    @property
+    def upstream_most(self) -> int:
+        half = (self.sockets - self.clients_most) // 2
+        return max(1, half - self.callers_most - OWN_SOCKETS)
+
 
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration that the environment names. Raises ConfigError with one plain line."""
@@ -79,7 +97,7 @@
     if not isinstance(top, dict):
         raise ConfigError("PROXY_CONFIG is not an object")
     # The single variables stand in for what the file leaves out.
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "mgmt"):
         top.setdefault(key, environ.get(f"PROXY_{key.upper()}"))
     return parse(top)
 
@@ -107,6 +125,7 @@
         name=str(top.get("name") or ""),
         listen=_address(top, "listen"),
         discovery=_address(top, "discovery"),
+        mgmt=_address(top, "mgmt") if top.get("mgmt") is not None else None,
         seed=_seed(top.get("seed")),
         sockets=_sockets(top.get("limits")),
         peer_listen=_address(top, "peer_listen") if top.get("peer_listen") else None,
--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import select
 from collections import deque
 from hashlib import blake2b
 from http import HTTPStatus
@@ -83,6 +84,7 @@
         self._exchanges: deque[Exchange] = deque()
         self._ended = False  # nothing more is read
         self._clogged = False  # the client does not read its answers
+        self._fresh = True  # no request has come yet
         self._overdue: asyncio.TimerHandle | None = None  # while a request is awaited or has come in part
         self._begin()
 
@@ -90,6 +92,15 @@
     def idle(self) -> bool:
         return not self._exchanges and not self._reading
 
+    @property
+    def left(self) -> bool:
+        """Whether the client is done with it for now: it has been used, and nothing lies unread in it."""
+        if self._fresh or not self.idle or self._transport is None:
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     @property
     def owed(self) -> bool:
         return bool(self._exchanges)
@@ -197,6 +208,7 @@
 
     def on_message_begin(self) -> None:
         self._begin()
+        self._fresh = False
         self._reading = True
 
     def on_url(self, url: bytes) -> None:
@@ -254,9 +266,10 @@
 class Frontend:
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self.host, self.loop = host, loop
+        self.listening = False
         self.draining = False
         self._drained = asyncio.Event()
-        self._most = config.sockets // 3
+        self._most = config.clients_most
         self._connections: dict[ClientConnection, None] = {}
         self._classes = {c.name.encode(): i for i, c in enumerate(config.settings.classes)}
         self._methods = [METHODS[c.effect] for c in config.settings.classes]
@@ -275,9 +288,15 @@
         if not self._connections:
             self._drained.set()
 
+    @property
+    def ready(self) -> bool:
+        return self.listening and not self.draining and self.host.informed
+
     def close_idle(self) -> None:
+        """Close what no request comes on. A connection not yet used is about to be: its time for a request
+        runs out by itself."""
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.left:
                 connection.close()
 
     async def finished(self) -> None:
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -8,21 +8,25 @@
 import asyncio
 import logging
 import time
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any, NamedTuple, Protocol
 
 from cranespindle import api
 from cranespindle.api import Outcome
-from cranespindle.balance import Balancer
+from cranespindle.balance import Balancer, Member
 from cranespindle.node.config import SECOND, Config, HostList
+from cranespindle.node.telemetry import Telemetry
 from cranespindle.node.upstream import Answer, Attempt, Upstream
 
 log = logging.getLogger(__name__)
 
 MS = 1_000_000
 DEADLINE_MARGIN = 10 * MS  # the client's time ends this much earlier here: for loop lag and the way back
+# A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
+# has told binds it from then on. Much later, and a replacement would not come in time.
+TOLD_WITHIN = 3 * SECOND
 STATUS_EVERY = 1.0  # seconds between two status lines: cuts and queues turn within a few
 
 
@@ -64,10 +68,11 @@
 
     __slots__ = (
         "answered", "attempt", "attempts", "client", "deadline", "endpoint", "expires", "id", "incoming",
-        "last", "patience", "sent", "until",
+        "last", "name", "patience", "sent", "until",
     )  # fmt: skip
 
-    def __init__(self, rid: int, client: Client, incoming: Incoming, expires: int) -> None:
+    def __init__(self, rid: int, client: Client, incoming: Incoming, name: str, expires: int) -> None:
+        self.name = name  # of its class
         self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
         self.answered = False
         self.attempts = self.sent = self.until = 0
@@ -87,7 +92,8 @@
         self._settings = config.settings
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
-        self._counts: Counter[str] = Counter()  # since the last status line
+        self.telemetry = Telemetry()
+        self.telemetry.know(c.name for c in config.settings.classes)
         self.upstream = Upstream(config, loop, clock.now, self.count)
         self._open: dict[int, Open] = {}
         self._last_id = 0
@@ -105,6 +111,8 @@
         self.fetch: Callable[[], None] = lambda: None
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
+        self._told = False  # whether discovery has, since the start
+        self._patient_until = self.now() + TOLD_WITHIN
         self._took = 0  # by the attempts served since then
 
     # ---- events
@@ -116,9 +124,15 @@
 
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
+        self._told = self._told or kind != api.ListKind.CACHED
         self.upstream.learn(told.hosts, whole=kind != api.ListKind.DELTA)
         self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
 
+    @property
+    def informed(self) -> bool:
+        """Whether engines are known, by a list from discovery unless that is long in coming."""
+        return self.listed and (self._told or self.now() >= self._patient_until)
+
     def post(self, event: api.Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
         self._events.append(event)
@@ -143,12 +157,23 @@
 
     def count(self, name: str) -> None:
         """Count what the fleet pays for together, such as a handshake or a call to discovery."""
-        self._counts[name] += 1
+        self.telemetry.events[name] += 1
+
+    def figures(self) -> dict[str, Any]:
+        members = [m for m in self._balancer.members.values() if m.health != api.Health.GONE]
+        return self.telemetry.figures(len(members), sum(map(self._avoided, members)))
+
+    def _avoided(self, member: Member) -> bool:
+        """Whether an engine that is listed gets nothing now: it drains, or is ejected and not kept for want
+        of others."""
+        if member.health != api.Health.READY:
+            return True
+        return member.out_until > self.now() and not any(member in side for side in self._balancer.subset)
 
     def _status(self) -> None:
         """One line for on-call: what came and went since the last, and how the decisions stand."""
         self._loop.call_later(STATUS_EVERY, self._status)
-        counts, self._counts = self._counts, Counter()
+        counts = self.telemetry.growth()
         took, self._took = self._took / MS / max(1, counts["ok"]), 0
         if counts:
             said = " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
@@ -171,11 +196,13 @@
 
     def request(self, client: Client, incoming: Incoming) -> int:
         """Take a request; the client is answered once, unless `gone` tells that it left."""
-        self._counts["requests"] += 1
+        self.count("requests")
+        self.telemetry.in_progress += 1
         self._last_id += 1
         rid, now = self._last_id, self.now()
         expires = now + max(0, incoming.deadline - DEADLINE_MARGIN)
-        request = self._open[rid] = Open(rid, client, incoming, expires)
+        name = self._settings.classes[incoming.cls].name
+        request = self._open[rid] = Open(rid, client, incoming, name, expires)
         request.deadline = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
         self.post(
             api.Request(
@@ -214,6 +241,7 @@
         if request is None or request.answered:
             return None
         request.answered = True
+        self.telemetry.in_progress -= 1
         return request
 
     # ---- actions
@@ -229,7 +257,9 @@
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
         done = partial(self._completed, request, number)
-        attempt = self.upstream.attempt(action.endpoint, partial(request.payload, self.now), done)
+        attempt = self.upstream.attempt(
+            action.endpoint, partial(request.payload, self.now), done, self._written
+        )
         if attempt is None:
             done(Outcome.CONNECT_FAILED, None)
             return
@@ -241,6 +271,9 @@
             )
         attempt.start()
 
+    def _written(self) -> None:
+        self.telemetry.upstream_tries += 1
+
     def _moot(self, action: api.Send, request: Open | None) -> None:
         over = request is None or request.answered
         number = request.attempts if request else 0
@@ -248,11 +281,12 @@
 
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
-        self._counts[Outcome(outcome).name.lower()] += 1
+        self.count(Outcome(outcome).name.lower())
         if request.patience is not None:
             request.patience.cancel()
             request.patience = None
         if outcome == Outcome.OK and answer is not None and self._conclude(request.id) is not None:
+            self.telemetry.passed[request.name] += 1
             request.client.serve(answer)
         over = request.answered
         self._settle(request)
@@ -262,13 +296,14 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if (request := self._conclude(action.id)) is not None:
-            self._counts["refused_late" if request.attempts else "refused_unsent"] += 1
+            self.telemetry.dropped[request.name] += 1
+            self.count("refused_late" if request.attempts else "refused_unsent")
             request.client.refuse(action.stay_away)
             self._settle(request)
 
     def _fail(self, action: api.Fail) -> None:
         if (request := self._conclude(action.id)) is not None:
-            self._counts["failed"] += 1
+            self.telemetry.bad_gateway[request.name] += 1
             request.client.fail(request.last == Outcome.TIMEOUT)
             self._settle(request)
 
--- /dev/null
+++ b/cranespindle/node/management.py
@@ -0,0 +1,99 @@
+"""The second listener, for the operators' callers: readiness and figures. It reads and never decides."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+
+from cranespindle.node.config import Address
+from cranespindle.node.frontend import reply
+
+CALL_WITHIN = 2.0  # a caller waits for a second; one that has finished no call by now is closed
+HEAD_MOST = 8 * 1024
+
+
+class Management:
+    """Answers with what its two sources say at that moment."""
+
+    def __init__(self, ready: Callable[[], bool], figures: Callable[[], dict[str, Any]], most: int) -> None:
+        self._ready, self._figures, self._most = ready, figures, most
+        self._callers: dict[Caller, None] = {}
+
+    async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> asyncio.Server:
+        return await loop.create_server(lambda: Caller(self, loop), *address)
+
+    def opened(self, caller: Caller) -> None:
+        if len(self._callers) >= self._most:
+            next(iter(self._callers)).close()  # the oldest: a proper call is over in no time
+        self._callers[caller] = None
+
+    def closed(self, caller: Caller) -> None:
+        self._callers.pop(caller, None)
+
+    def answer(self, method: bytes, path: bytes) -> bytes:
+        if path not in (b"/api/ready", b"/api/telemetry"):
+            return _plain(404, b"no such call")
+        if method != b"GET":
+            return reply(405, [(b"Allow", b"GET")], b"only GET is served\n", close=True)
+        if path == b"/api/ready":
+            return _plain(200, b"ready") if self._ready() else _plain(503, b"not ready")
+        body = json.dumps(self._figures()).encode()
+        return reply(200, [(b"Content-Type", b"application/json")], body, close=True)
+
+
+class Caller(asyncio.Protocol):
+    """A connection of one call."""
+
+    def __init__(self, management: Management, loop: asyncio.AbstractEventLoop) -> None:
+        self._management, self._loop = management, loop
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self._size = 0
+        self._answered = False
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._overdue = self._loop.call_later(CALL_WITHIN, self.close)
+        self._management.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._overdue.cancel()
+        self._management.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._answered:
+            return
+        self._size += len(data)
+        if self._size > HEAD_MOST:
+            self._say(_plain(400, b"the call is too long"))
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._say(_plain(400, b"malformed call"))
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_message_complete(self) -> None:
+        self._say(self._management.answer(self._parser.get_method(), self._url.partition(b"?")[0]))
+
+    def _say(self, answer: bytes) -> None:
+        if not self._answered and self._transport is not None:
+            self._answered = True
+            self._transport.write(answer)
+            self._transport.close()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _plain(status: int, text: bytes) -> bytes:
+    return reply(status, [], text + b"\n", close=True)
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -48,6 +48,7 @@
         self._poll = select.poll()
         self._answer: Answer | None = None
         self._junk = False
+        self._written: Callable[[], None] | None = None
         self.idle_since = 0
         self.body_most = BODY_MOST
 
@@ -55,6 +56,7 @@
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.Transport, transport)
         self.made = True
+        self._transport.set_write_buffer_limits(0)  # so that it tells when the last byte has gone out
         self._fd = self._transport.get_extra_info("socket").fileno()
         self._poll.register(self._fd, select.POLLIN)
 
@@ -67,9 +69,15 @@
         transport = self._transport
         return transport is not None and not transport.is_closing() and not self._poll.poll(0)
 
-    def send(self, data: bytes, done: Callable[[Answer | None], None]) -> bool:
+    def send(
+        self,
+        data: bytes,
+        done: Callable[[Answer | None], None],
+        written: Callable[[], None] = lambda: None,
+    ) -> bool:
         """Write a request. False: its last byte surely did not go out. Else `done` gets the answer, once:
-        UNREADABLE if it makes no sense, None if the connection broke.
+        UNREADABLE if it makes no sense, None if the connection broke. `written` is called once the last
+        byte has gone out.
 
         The write goes to the socket itself, as the transport would not tell how much the kernel took.
         """
@@ -82,17 +90,25 @@
         self._headers: Headers = []
         self._chunks: list[bytes] = []
         try:
-            written = os.write(self._fd, data)
+            sent = os.write(self._fd, data)
         except BlockingIOError:
-            written = 0
+            sent = 0
         except OSError:
             self.close()
             return False
         self._done = done
-        if written < len(data):
-            transport.write(data[written:])  # from here on a break counts as may-have-run
+        if sent < len(data):
+            self._written = written
+            transport.write(data[sent:])  # from here on a break counts as may-have-run
+        else:
+            written()
         return True
 
+    def resume_writing(self) -> None:
+        written, self._written = self._written, None
+        if written is not None:
+            written()
+
     def close(self) -> None:
         self._done = None
         if self._transport is not None:
@@ -169,7 +185,9 @@
 class Attempt:
     """A request on its way to an endpoint. It ends exactly once."""
 
-    __slots__ = ("__weakref__", "_connect", "_connection", "_done", "_payload", "_pool", "_upstream")
+    __slots__ = (
+        "__weakref__", "_connect", "_connection", "_done", "_payload", "_pool", "_upstream", "_written",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -177,8 +195,9 @@
         pool: Pool,
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
+        written: Callable[[], None],
     ) -> None:
-        self._upstream, self._pool, self._payload = upstream, pool, payload
+        self._upstream, self._pool, self._payload, self._written = upstream, pool, payload, written
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
@@ -220,7 +239,7 @@
 
     def _write(self, connection: Connection) -> None:
         self._connection = connection
-        if not connection.send(self._payload(), self._answered):
+        if not connection.send(self._payload(), self._answered, self._written):
             self._end(Outcome.CONNECT_FAILED, None)
 
     def _answered(self, answer: Answer | None) -> None:
@@ -260,7 +279,7 @@
         self._fields = config.settings.report_fields
         path = "/metrics/load" if config.reports else "/alive"
         self._probe = f"GET {path} HTTP/1.1\r\nHost: backend.local\r\n\r\n".encode()
-        self._most = config.sockets // 2
+        self._most = config.upstream_most
         self._open = 0
         self._pools: dict[EndpointId, Pool] = {}
         self._probes: set[Attempt] = set()
@@ -304,12 +323,13 @@
         endpoint: EndpointId,
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
+        written: Callable[[], None] = lambda: None,
     ) -> Attempt | None:
         """A new attempt, not yet started; None where the endpoint wants nothing new."""
         pool = self._pools.get(endpoint)
         if pool is None or pool.health != Health.READY:
             return None
-        return Attempt(self, pool, payload, done)
+        return Attempt(self, pool, payload, done, written)
 
     def probe(self, endpoint: EndpointId, done: Callable[[int, int, tuple[float, ...]], None]) -> None:
         began = self._now()
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,234 @@
+"""The second listener, and the truth of its figures."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from cranespindle import api
+from cranespindle.node import config
+from cranespindle.node.config import ConfigError
+from cranespindle.node.management import Management
+from tests.sidecar import (
+    SETTINGS,
+    Seen,
+    Sidecar,
+    always_ok,
+    configuration,
+    dead_dial,
+    endpoint,
+    entry,
+    never,
+    ok,
+    request,
+    run,
+    sidecar,
+    status,
+)
+
+CALLERS = 4
+
+
+class Operators:
+    def __init__(self, port: int) -> None:
+        self.port = port
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def call(self, raw: bytes) -> tuple[int, bytes]:
+        """The status and body of the answer, after which the connection ends."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+        writer.close()
+        return int(head.split()[1]), body
+
+    async def get(self, path: str) -> tuple[int, bytes]:
+        return await self.call(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+    async def figures(self) -> dict[str, Any]:
+        code, body = await self.get("/api/telemetry")
+        assert code == 200
+        told: dict[str, Any] = json.loads(body)
+        return told
+
+
+@contextlib.asynccontextmanager
+async def managed(node: Sidecar) -> AsyncIterator[Operators]:
+    management = Management(lambda: node.frontend.ready, node.host.figures, CALLERS)
+    server = await management.listen(asyncio.get_running_loop(), ("127.0.0.1", 0))
+    try:
+        yield Operators(server.sockets[0].getsockname()[1])
+    finally:
+        server.close()
+
+
+def test_ready_needs_a_listener_and_a_list_and_ends_with_the_drain() -> None:
+    async def test() -> None:
+        async with sidecar() as node, managed(node) as operators:
+            assert (await operators.get("/api/ready"))[0] == 503
+            told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
+            node.host.learn(config.host_list(told, node.config.names), api.ListKind.FULL)
+            assert (await operators.get("/api/ready"))[0] == 503  # no client can come yet
+            node.frontend.listening = True
+            assert (await operators.get("/api/ready"))[0] == 200
+            node.frontend.draining = True
+            assert (await operators.get("/api/ready"))[0] == 503
+
+    run(test())
+
+
+def test_a_last_list_alone_makes_ready_only_after_a_while() -> None:
+    async def test() -> None:
+        async with sidecar(dead_dial()) as node:
+            node.frontend.listening = True
+            now = node.host.now()
+            node.host.now = lambda: now
+            assert not node.frontend.ready
+            node.host.now = lambda: node.host._patient_until
+            assert node.frontend.ready
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("raw", "code"),
+    [
+        (b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"POST /api/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /api/ready HTTP/1.1\r\nX: " + b"x" * 9000 + b"\r\n\r\n", 400),
+        (b"GET /api/ready?x=1 HTTP/1.0\r\n\r\n", 503),
+    ],
+)
+def test_calls_that_are_not_served_get_a_clear_no(raw: bytes, code: int) -> None:
+    async def test() -> None:
+        async with sidecar() as node, managed(node) as operators:
+            assert (await operators.call(raw))[0] == code
+
+    run(test())
+
+
+def test_callers_that_finish_no_call_delay_nobody_and_are_closed() -> None:
+    async def test() -> None:
+        async with sidecar() as node, managed(node) as operators:
+            unfinished = [await operators.connect() for _ in range(3 * CALLERS)]
+            for _, writer in unfinished:
+                writer.write(b"GET /api/re")
+            assert (await operators.get("/api/telemetry"))[0] == 200
+            for reader, _ in unfinished:
+                with contextlib.suppress(ConnectionError):
+                    assert await reader.read() == b""
+
+    run(test())
+
+
+def test_figures_count_each_request_once_by_class_and_each_attempt_written() -> None:
+    answers = {b"1": ok(), b"2": status(500), b"3": status(503, b"Srv-Declined: 1")}
+
+    async def script(seen: Seen) -> bytes:
+        return answers[seen.headers[b"x-n"]]
+
+    async def test() -> None:
+        async with endpoint(script) as served, sidecar(served.dial) as node, managed(node) as operators:
+            told = await operators.figures()
+            none = {"read": 0, "post": 0}
+            assert told == {
+                "passed": none, "dropped": none, "bad_gateway": none, "upstream_tries": 0, "in_progress": 0,
+                "known_quote_engines": 1, "skipped_quote_engines": 0, "loads": 0, "load_errors": 0,
+            }  # fmt: skip
+            client = await node.client()
+            codes = [(await client.ask(request("post", extra=b"X-N: %d\r\n" % n)))[0] for n in (1, 2, 3)]
+            assert codes == [200, 502, 503]
+            assert (await client.ask(request("odd")))[0] == 400  # nobody's class
+            told = await operators.figures()
+            assert [told[name]["post"] for name in ("passed", "bad_gateway", "dropped")] == [1, 1, 1]
+            assert told["passed"]["read"] == told["in_progress"] == 0 and "odd" not in told["passed"]
+            assert told["upstream_tries"] == 3 == len(served.seen)
+
+    run(test())
+
+
+def test_neither_probes_nor_failed_connects_are_tries() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(dead_dial()) as node:
+            assert (await (await node.client()).ask(request("post")))[0] == 503
+            told = {"seq": 2, "whole": True, "hosts": [entry("s-1", served.dial)]}
+            node.host.learn(config.host_list(told, node.config.names), api.ListKind.FULL)
+            node.host._probe(api.Probe(config.endpoint_id("s-1")))
+            await node.event(lambda e: isinstance(e, api.Probed))
+            assert node.host.figures()["upstream_tries"] == 0
+
+    run(test())
+
+
+def test_what_is_in_progress_comes_back_to_none_when_the_client_leaves() -> None:
+    async def test() -> None:
+        async with endpoint(never) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            client.writer.write(request(deadline="1"))
+            await served.arrived.wait()
+            assert node.host.figures()["in_progress"] == 1
+            client.writer.close()
+            await node.event(lambda e: isinstance(e, api.Gone))
+            assert node.host.figures()["in_progress"] == 0
+            await node.event(lambda e: isinstance(e, api.Completed))  # its attempt ends at the deadline
+            assert node.host.figures()["in_progress"] == 0
+
+    run(test())
+
+
+def test_a_draining_or_ejected_engine_is_skipped_as_long_as_others_stand_in() -> None:
+    async def test() -> None:
+        async with sidecar(*(dead_dial() for _ in range(4))) as node:
+            told = {"seq": 2, "whole": False, "hosts": [entry("s-3", "127.0.0.1:9", "draining")]}
+            node.host.learn(config.host_list(told, node.config.names), api.ListKind.DELTA)
+            balancer = node.host._balancer
+            balancer.members[config.endpoint_id("s-0")].out_until = node.host.now() + 10**12
+            balancer.refill(node.host.now())
+            figures = node.host.figures()
+            assert (figures["known_quote_engines"], figures["skipped_quote_engines"]) == (4, 2)
+
+    run(test())
+
+
+def test_the_status_line_tells_the_growth_of_the_same_counters() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            for expected in (2, 1):
+                for _ in range(expected):
+                    assert (await client.ask(request("post")))[0] == 200
+                grown = node.host.telemetry.growth()
+                assert (grown["passed"], grown["tries"], grown["requests"]) == (expected,) * 3
+
+    run(test())
+
+
+def test_the_address_comes_from_the_file_else_the_environment_and_must_be_one(tmp_path: Any) -> None:
+    file = tmp_path / "config.json"
+
+    def mgmt(environment: dict[str, str], **told: Any) -> config.Address | None:
+        file.write_text(json.dumps(configuration("127.0.0.1:9", **told)))
+        return config.load({"PROXY_CONFIG": str(file)} | environment).mgmt
+
+    assert mgmt({}) is None
+    assert mgmt({"PROXY_MGMT": "127.0.0.1:7"}) == ("127.0.0.1", 7)
+    assert mgmt({"PROXY_MGMT": "127.0.0.1:7"}, mgmt="127.0.0.1:8") == ("127.0.0.1", 8)
+    for bad in ("", "here", 7):
+        with pytest.raises(ConfigError, match="mgmt"):
+            mgmt({}, mgmt=bad)
+
+
+def test_descriptors_suffice_for_two_processes_side_by_side() -> None:
+    for sockets in (256, 384, 1024):
+        told = config.parse(configuration(limits={"sockets": sockets}) | {"settings": SETTINGS})
+        apart = told.upstream_most + told.callers_most + config.OWN_SOCKETS
+        assert told.clients_most + 2 * apart <= told.sockets
+        assert told.upstream_most >= told.sockets // 6
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -561,10 +561,11 @@
             client = await node.client()
             for _ in range(2):  # the second finds the connection of the first
                 assert (await client.ask(request()))[0] == 200
-            assert node.host._counts["handshakes"] == 1
+            assert node.host.telemetry.events["handshakes"] == 1
             node.discovery.fetch()
             await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.FAILED)
-            assert node.host._counts["lists_asked"] == node.host._counts["lists_failed"] == 1
+            events = node.host.telemetry.events
+            assert events["lists_asked"] == events["lists_failed"] == 1
 
     run(test())
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -72,6 +72,68 @@
     run(test())
 
 
+async def ready(mgmt: str) -> bool:
+    """Whether a process, which may still be starting, says that it is ready."""
+    caller = await connected(mgmt)
+    caller.writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    answer = await caller.reader.read()
+    caller.writer.close()
+    return answer.startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_successor_beside_it_gets_the_new_connections_and_nothing_taken_is_lost(tmp_path: Path) -> None:
+    async def test() -> None:
+        go_on, here = asyncio.Event(), asyncio.Event()
+
+        async def held(seen: Seen) -> bytes:
+            here.set()
+            await go_on.wait()
+            return ok(b"done")
+
+        async def lists(seen: Seen) -> bytes:
+            return ok(json.dumps(known | {"seq": 2}).encode())
+
+        async with endpoint(held) as served, endpoint(lists) as discovery:
+            listen, old_mgmt, new_mgmt = dead_dial(), dead_dial(), dead_dial()
+            told = configuration(served.dial, listen=listen, discovery=discovery.dial)
+            known = told["known"]
+            processes = []
+            for mgmt in (old_mgmt, new_mgmt):
+                file = tmp_path / f"{mgmt}.json"
+                file.write_text(json.dumps(told | {"mgmt": mgmt}))
+                environment = os.environ | {"PROXY_CONFIG": str(file)}
+                processes.append(await asyncio.create_subprocess_exec(*COMMAND, env=environment, cwd=ROOT))
+                while not await ready(mgmt):
+                    await asyncio.sleep(0.01)
+                if mgmt == old_mgmt:
+                    taken, unheard = await connected(listen), await connected(listen)
+                    taken.writer.write(request("post"))
+                    await here.wait()
+            old, new = processes
+            old.send_signal(signal.SIGTERM)
+            while await ready(old_mgmt):
+                await asyncio.sleep(0.01)
+            assert await ready(new_mgmt)
+            # Held still, the old one can take nothing: all that connects now is the successor's.
+            old.send_signal(signal.SIGSTOP)
+            later = [await connected(listen) for _ in range(16)]
+            for client in later:
+                client.writer.write(request("post"))
+            go_on.set()
+            assert [(await client.answer())[0] for client in later] == [200] * len(later)
+            old.send_signal(signal.SIGCONT)
+            assert (await taken.answer())[2] == b"done" and await taken.ended()
+            # What was accepted and not heard yet is heard: here, and its connection ends with the answer.
+            assert (await unheard.ask(request("post")))[1][b"connection"] == b"close"
+            assert await old.wait() == 0
+            new.terminate()
+            for client in later:
+                assert await client.ended()
+            assert await new.wait() == 0
+
+    run(test())
+
+
 def test_a_replaced_configuration_is_taken_up_on_sighup_without_a_break(tmp_path: Path) -> None:
     async def test() -> None:
         async with (
@@ -103,6 +165,7 @@
     ("change", "said"),
     [
         ({"listen": "here"}, "listen"),
+        ({"mgmt": "here"}, "mgmt"),
         ({"discovery": None}, "discovery"),
         ({"settings": {}}, "Categories"),
         ({"settings": None}, "settings"),
