--- a/cranespindle/api.py
+++ b/cranespindle/api.py
@@ -128,6 +128,14 @@
     expires: int  # clock at which the client abandons this try
     hint: int  # expected work; 0: none
     repeat: bool  # marked by the client as a further try
+    coming: bool = False  # its body is still on the way: its time counts from Uploaded
+
+
+class Uploaded(NamedTuple):
+    """The last byte of a request that was coming has come."""
+
+    id: int
+    expires: int
 
 
 class Completed(NamedTuple):
@@ -167,7 +175,16 @@
 
 
 Event: TypeAlias = (
-    Attached | EndpointList | Request | Completed | StreamStarted | Gone | Timer | Probed | PeerMessage
+    Attached
+    | EndpointList
+    | Request
+    | Uploaded
+    | Completed
+    | StreamStarted
+    | Gone
+    | Timer
+    | Probed
+    | PeerMessage
 )
 
 
--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -77,11 +77,6 @@
 class Member:
     """An endpoint as this sidecar knows it."""
 
-    __slots__ = (
-        "base", "cell", "ejections", "failed_at", "fails", "health", "heard", "id", "inflight", "out_until",
-        "pace", "rank", "share", "started", "streak", "zone",
-    )  # fmt: skip
-
     def __init__(self, entry: api.Endpoint, rank: int) -> None:
         self.id, self.rank, self.base = entry.id, rank, mix(int.from_bytes(entry.id, "little"))
         self.inflight = 0
@@ -102,14 +97,9 @@
 class Pending:
     """A request that is owed its final answer."""
 
-    __slots__ = (
-        "arrived", "asked", "attempts", "best", "best_far", "best_took", "cls", "counted", "expires", "id",
-        "key", "member", "open", "ran", "ran_at", "sent", "steps",
-    )  # fmt: skip
-
     def __init__(self, event: api.Request, now: int) -> None:
         self.id, self.cls, self.expires, self.arrived = event.id, event.cls, event.expires, now
-        self.key = event.key
+        self.key, self.coming = event.key, event.coming
         self.attempts = self.sent = self.ran_at = 0
         self.member: Member | None = None  # where its last attempt went
         self.ran: Member | None = None  # where it first may have run
@@ -133,7 +123,7 @@
         self.handlers = {
             api.Attached: self.on_attached, api.EndpointList: self.on_list, api.Request: self.on_request,
             api.Completed: self.on_completed, api.Gone: self.on_gone, api.Timer: self.on_timer,
-            api.StreamStarted: self.on_gone,
+            api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded,
             api.PeerMessage: self.on_peer, api.Probed: self.on_probed,
         }  # fmt: skip
         # list and drains
@@ -508,7 +498,7 @@
         # A wait is evidence while it lasts: queues that build at once show before their first late answer.
         for request in self.pending.values():
             member, aim = request.member, self.classes[request.cls].aim
-            if member:
+            if member and not request.coming:
                 base = self.base[request.cls] or aim * BASE_GUESS
                 lasted = (now - request.sent) * self.warmth(member, request.sent)
                 wait = min(1.0, (lasted - base) / (aim - base))
@@ -621,6 +611,12 @@
             if not self.asks or not self.ask(request, now):
                 self.send(request, now)
 
+    def on_uploaded(self, now: int, event: api.Uploaded) -> None:
+        """All of a long request has come: its time, and its wait at the endpoint, count from now."""
+        if (request := self.pending.get(event.id)) is not None:
+            request.coming, request.expires = False, event.expires
+            request.arrived = request.sent = now
+
     def useless(self, event: api.Request, now: int) -> bool:
         """Whether this repeat came so late, by the time left of the one deadline, that no answer earns."""
         cls, left = self.classes[event.cls], event.expires - now
--- a/cranespindle/node/config.py
+++ b/cranespindle/node/config.py
@@ -17,7 +17,9 @@
 
 SECOND = 1_000_000_000
 SOCKETS_MOST = 1024  # the least that a deployment allows, so never counted on for more
+MEMORY_LEAST = 32  # megabytes: the least that a deployment gives
 OWN_SOCKETS = 16  # the listeners, the loop, discovery, the standard streams and the like
+BODIES_LEAST = 1_000_000  # below this nothing long passes at all
 _HEALTHS = {"up": api.Health.READY, "draining": api.Health.DRAINING, "removed": api.Health.GONE}
 
 
@@ -56,6 +58,7 @@
     mgmt: Address | None  # where operators call
     seed: int
     sockets: int
+    memory: int  # bytes
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -73,6 +76,11 @@
     def clients_most(self) -> int:
         return max(1, self.sockets // 3)
 
+    def bodies_most(self, own: int) -> int:
+        """The memory for bodies, beside what the program itself holds, in half of the limit. A quarter is
+        left for what comes with them, such as the ledger and heads."""
+        return max(BODIES_LEAST, (self.memory // 2 - own) * 3 // 4)
+
     @property
     def callers_most(self) -> int:
         return max(4, self.sockets // 32)
@@ -128,6 +136,7 @@
         mgmt=_address(top, "mgmt") if top.get("mgmt") is not None else None,
         seed=_seed(top.get("seed")),
         sockets=_sockets(top.get("limits")),
+        memory=_memory(top.get("limits")),
         peer_listen=_address(top, "peer_listen") if top.get("peer_listen") else None,
         peers=tuple(_parse_address(peer, "peers") for peer in peers),
         peers_all=_address(top, "peers_all") if top.get("peers_all") else None,
@@ -204,6 +213,11 @@
         raise ConfigError(f"seed is {text!r}") from None
 
 
+def _memory(limits: Any) -> int:
+    told = limits.get("memory_mb") if isinstance(limits, dict) else None
+    return (told if isinstance(told, int) and told > 0 else MEMORY_LEAST) * 1_000_000
+
+
 def _sockets(limits: Any) -> int:
     told = limits.get("sockets") if isinstance(limits, dict) else None
     most = told if isinstance(told, int) and told > 0 else SOCKETS_MOST
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -7,16 +7,19 @@
 
 import asyncio
 import logging
+import resource
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
+from pathlib import Path
 from typing import Any, NamedTuple, Protocol
 
 from cranespindle import api
 from cranespindle.api import Outcome
 from cranespindle.balance import Balancer, Member
 from cranespindle.node.config import SECOND, Config, HostList
+from cranespindle.node.stream import READ_MOST, Budget, Stream
 from cranespindle.node.telemetry import Telemetry
 from cranespindle.node.upstream import Answer, Attempt, Upstream
 
@@ -30,6 +33,12 @@
 STATUS_EVERY = 1.0  # seconds between two status lines: cuts and queues turn within a few
 
 
+def own_memory() -> int:
+    """What this process holds by itself, in bytes."""
+    _, resident, shared, *_ = map(int, Path("/proc/self/statm").read_bytes().split())
+    return (resident - shared) * resource.getpagesize()
+
+
 class Clock:
     """Monotonic time, anchored once to the wall clock so that all sidecars agree on hours and births."""
 
@@ -41,7 +50,9 @@
 
 
 class Client(Protocol):
-    """Where the final answer of a request goes."""
+    """Where the final answer of a request goes. It says when that has left, by `Host.ended`."""
+
+    id: int  # the request's, here
 
     def serve(self, answer: Answer) -> None: ...
 
@@ -54,28 +65,37 @@
     """A request as the client sent it, checked."""
 
     cls: int
+    name: str  # of the class
     tenant: int
     key: int
     deadline: int
     hint: int
     repeat: bool
     head: bytes  # the request line and the headers that go on, but for the deadline and the empty line
-    body: bytes
+    body: bytes  # empty where it comes as a stream
 
 
 class Open:
-    """A request in the ledger: owed its final answer, or with an attempt still out."""
+    """A request in the ledger: owed its final answer or the rest of it, or with an attempt still out."""
 
     __slots__ = (
-        "answered", "attempt", "attempts", "client", "deadline", "endpoint", "expires", "id", "incoming",
-        "last", "name", "patience", "sent", "until",
+        "answered", "attempt", "attempts", "client", "coming", "deadline", "ended", "endpoint", "expires",
+        "held", "id", "incoming", "last", "leaving", "patience", "room", "sent", "taken", "tally", "timeout",
+        "until", "upload",
     )  # fmt: skip
 
-    def __init__(self, rid: int, client: Client, incoming: Incoming, name: str, expires: int) -> None:
-        self.name = name  # of its class
+    def __init__(
+        self, rid: int, client: Client, incoming: Incoming, expires: int, room: int, upload: Stream | None
+    ) -> None:
         self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
-        self.answered = False
-        self.attempts = self.sent = self.until = 0
+        self.room = self.held = room  # memory reserved at its head, and what of it is held now
+        self.upload = upload
+        self.coming = upload is not None  # its last byte has not come: its time does not run yet
+        self.taken = False
+        self.answered = self.ended = False
+        self.tally: Counter[str] | None = None  # what its final answer counts as
+        self.leaving = 0  # memory that the answer on its way out holds
+        self.attempts = self.sent = self.until = self.timeout = 0
         self.attempt: Attempt | None = None
         self.endpoint: api.EndpointId = b""
         self.last = -1  # the outcome of the last attempt
@@ -83,8 +103,8 @@
         self.patience: asyncio.TimerHandle | None = None
 
     def payload(self, now: Callable[[], int]) -> bytes:
-        left = max(0, self.until - now()) / SECOND
-        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.incoming.head, left, self.incoming.body)
+        left = self.incoming.deadline if self.coming else max(0, self.until - now())
+        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.incoming.head, left / SECOND, self.incoming.body)
 
 
 class Host:
@@ -92,6 +112,7 @@
         self._settings = config.settings
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
+        self.budget = Budget(config.bodies_most(own_memory()))
         self.telemetry = Telemetry()
         self.telemetry.know(c.name for c in config.settings.classes)
         self.upstream = Upstream(config, loop, clock.now, self.count)
@@ -194,28 +215,77 @@
 
     # ---- requests
 
-    def request(self, client: Client, incoming: Incoming) -> int:
-        """Take a request; the client is answered once, unless `gone` tells that it left."""
+    def request(self, client: Client, incoming: Incoming, room: int, upload: Stream | None = None) -> None:
+        """Take a request; the client is answered once, unless `gone` tells that it left.
+
+        The memory reserved for it is the ledger's from here on. That of a long one is not yet whole:
+        `uploaded` tells when it is.
+        """
         self.count("requests")
-        self.telemetry.in_progress += 1
         self._last_id += 1
         rid, now = self._last_id, self.now()
         expires = now + max(0, incoming.deadline - DEADLINE_MARGIN)
-        name = self._settings.classes[incoming.cls].name
-        request = self._open[rid] = Open(rid, client, incoming, name, expires)
-        request.deadline = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
+        request = self._open[rid] = Open(rid, client, incoming, expires, room, upload)
+        client.id = rid
+        if upload is None:
+            self._take(request)
         self.post(
             api.Request(
-                rid, incoming.cls, incoming.tenant, incoming.key, expires, incoming.hint, incoming.repeat
+                rid,
+                incoming.cls,
+                incoming.tenant,
+                incoming.key,
+                expires,
+                incoming.hint,
+                incoming.repeat,
+                request.coming,
             )
         )
-        return rid
+
+    def _take(self, request: Open) -> None:
+        """Its last byte has come."""
+        request.taken = True
+        self.telemetry.in_progress += 1
+        left = (request.expires - self.now()) / SECOND
+        request.deadline = self._loop.call_later(left, self._at_deadline, request)
+
+    def uploaded(self, rid: int) -> None:
+        """The last byte of a long request has come, and its time runs from now."""
+        request = self._open.get(rid)
+        if request is None or request.answered:
+            return
+        now, request.coming = self.now(), False
+        request.sent, request.expires = now, now + max(0, request.incoming.deadline - DEADLINE_MARGIN)
+        self._take(request)
+        if request.attempt is not None:
+            self._wait(request, request.attempt)
+        self.post(api.Uploaded(rid, request.expires))
 
     def gone(self, rid: int) -> None:
-        """The client left. An attempt that is out goes on: ending it would only cost a connection."""
+        """The client left. An attempt that is out goes on, as ending it would only cost a connection; but not
+        without the rest of its request."""
         if (request := self._conclude(rid)) is not None:
-            self._settle(request)
+            self.ended(rid)
             self.post(api.Gone(rid))
+            if request.coming and request.attempt is not None:
+                request.attempt.abandon(Outcome.CANCELLED)
+
+    def ended(self, rid: int, broken: bool = False) -> None:
+        """The final answer has left, or broke on the way here, or nobody is there to get it."""
+        request = self._open.get(rid)
+        if request is None or request.ended:
+            return
+        request.ended, request.leaving = True, 0
+        self.telemetry.in_progress -= request.taken
+        tally = self.telemetry.bad_gateway if broken else request.tally
+        if tally is not None:
+            tally[request.incoming.name] += 1
+        self._settle(request)
+
+    def turn_down(self, incoming: Incoming) -> None:
+        """Count a request refused for want of memory, which never came into the ledger."""
+        self.count("no_room")
+        self.telemetry.dropped[incoming.name] += 1
 
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
@@ -228,12 +298,18 @@
             self.post(api.Gone(request.id))
 
     def _settle(self, request: Open) -> None:
-        """Drop what is answered and has no attempt out."""
-        if request.answered and request.attempt is None:
+        """Keep the memory that is still needed; drop what has ended and has no attempt out."""
+        active = not request.answered or request.attempt is not None
+        room = (request.room if active else 0) + request.leaving
+        self.budget.give(request.held - room)
+        request.held = room
+        if active:
+            return
+        if request.deadline is not None:
+            request.deadline.cancel()
+            request.deadline = None
+        if request.ended:
             self._open.pop(request.id, None)
-            if request.deadline is not None:
-                request.deadline.cancel()
-                request.deadline = None
 
     def _conclude(self, rid: int) -> Open | None:
         """The request if it is still owed its final answer, which the caller then gives."""
@@ -241,35 +317,41 @@
         if request is None or request.answered:
             return None
         request.answered = True
-        self.telemetry.in_progress -= 1
         return request
 
     # ---- actions
 
     def _send(self, action: api.Send) -> None:
         request, now = self._open.get(action.id), self.now()
-        if request is None or request.answered or request.attempt is not None or now >= request.expires:
+        if request is None or request.answered or request.attempt is not None:
             self._moot(action, request)
             return
-        if request.attempts >= self._settings.max_attempts:
+        spent = request.upload is not None and request.upload.started  # what was handed on is held no more
+        late = not request.coming and now >= request.expires
+        if spent or late or request.attempts >= self._settings.max_attempts:
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
         done = partial(self._completed, request, number)
         attempt = self.upstream.attempt(
-            action.endpoint, partial(request.payload, self.now), done, self._written
+            action.endpoint, partial(request.payload, self.now), done, self._written, request.upload
         )
         if attempt is None:
             done(Outcome.CONNECT_FAILED, None)
             return
-        request.attempt = attempt
-        if action.timeout and now + action.timeout < request.expires:
-            request.until = now + action.timeout
+        request.attempt, request.timeout = attempt, action.timeout
+        if not request.coming:
+            self._wait(request, attempt)
+        attempt.start()
+
+    def _wait(self, request: Open, attempt: Attempt) -> None:
+        """Wait for this attempt no longer than was decided."""
+        if request.timeout and request.sent + request.timeout < request.expires:
+            request.until = request.sent + request.timeout
             request.patience = self._loop.call_later(
-                action.timeout / SECOND, attempt.abandon, Outcome.TIMEOUT
+                request.timeout / SECOND, attempt.abandon, Outcome.TIMEOUT
             )
-        attempt.start()
 
     def _written(self) -> None:
         self.telemetry.upstream_tries += 1
@@ -286,8 +368,11 @@
             request.patience.cancel()
             request.patience = None
         if outcome == Outcome.OK and answer is not None and self._conclude(request.id) is not None:
-            self.telemetry.passed[request.name] += 1
+            request.tally = self.telemetry.passed
+            request.leaving = len(answer.body) if answer.rest is None else READ_MOST
             request.client.serve(answer)
+        elif answer is not None and answer.rest is not None:
+            answer.rest.drop()  # the client has left meanwhile
         over = request.answered
         self._settle(request)
         took, report = self.now() - request.sent, self.upstream.report(answer)
@@ -296,14 +381,14 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if (request := self._conclude(action.id)) is not None:
-            self.telemetry.dropped[request.name] += 1
+            request.tally = self.telemetry.dropped
             self.count("refused_late" if request.attempts else "refused_unsent")
             request.client.refuse(action.stay_away)
             self._settle(request)
 
     def _fail(self, action: api.Fail) -> None:
         if (request := self._conclude(action.id)) is not None:
-            self.telemetry.bad_gateway[request.name] += 1
+            request.tally = self.telemetry.bad_gateway
             request.client.fail(request.last == Outcome.TIMEOUT)
             self._settle(request)
 
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -6,14 +6,15 @@
 import os
 import select
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import NamedTuple, TypeAlias, cast
 
 import httptools
 
 from cranespindle.api import EndpointId, Health, Outcome
 from cranespindle.node.config import SECOND, Address, Config, Host
+from cranespindle.node.stream import LAST_CHUNK, READ_BUFFER, STALLED, WHOLE_MOST, Stream, chunk, nothing
 
-BODY_MOST = 64 * 1024
 HEAD_MOST = 32 * 1024
 PROBE_TIMEOUT = 0.5
 IDLE_SHARE = 0.9  # a connection idle for this share of the endpoint's limit is not used again
@@ -28,29 +29,38 @@
     status: int
     headers: Headers
     body: bytes
+    rest: Stream | None = None  # in place of the body of a long answer, which is still to come
 
     def header(self, name: bytes) -> bytes | None:
         return next((value for key, value in self.headers if key == name), None)
 
 
 UNREADABLE = Answer(0, [], b"")  # what came cannot be read as HTTP: the endpoint is up all the same
+BODILESS = (204, 304)
+Done: TypeAlias = Callable[[Answer | None], None]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One HTTP/1.1 client connection; it carries a request at a time and never sends one again by itself."""
 
     def __init__(self, on_lost: Callable[[Connection], None] | None = None) -> None:
         self._on_lost = on_lost
         self.made = False
         self._transport: asyncio.Transport | None = None
-        self._done: Callable[[Answer | None], None] | None = None
         self._fd = -1
         self._poll = select.poll()
+        self._done: Done | None = None
+        self._free = nothing
+        self._upload: Stream | None = None  # the body of a long request under way
+        self._rest: Stream | None = None  # that of a long answer
         self._answer: Answer | None = None
-        self._junk = False
-        self._written: Callable[[], None] | None = None
+        self._ended = False  # the whole answer has come
+        self._clogged = self._paused = False
+        self.whole = False  # the last byte of the request has gone out
+        self._stalled: asyncio.TimerHandle | None = None
         self.idle_since = 0
-        self.body_most = BODY_MOST
+        self.body_most = WHOLE_MOST
+        self.streams = False  # a longer body is passed on as it comes; else it is an error
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
@@ -72,12 +82,14 @@
     def send(
         self,
         data: bytes,
-        done: Callable[[Answer | None], None],
-        written: Callable[[], None] = lambda: None,
+        done: Done,
+        written: Callable[[], None] = nothing,
+        free: Callable[[], None] = nothing,
+        upload: Stream | None = None,
     ) -> bool:
-        """Write a request. False: its last byte surely did not go out. Else `done` gets the answer, once:
-        UNREADABLE if it makes no sense, None if the connection broke. `written` is called once the last
-        byte has gone out.
+        """Write a request, whose body comes from `upload` if it is long. False: its last byte surely did not
+        go out. Else `done` gets the answer, once: UNREADABLE if it makes no sense, None if the connection
+        broke. `written` is called once the last byte has gone out, `free` once the answer is over.
 
         The write goes to the socket itself, as the transport would not tell how much the kernel took.
         """
@@ -85,10 +97,8 @@
         if transport is None or transport.is_closing():
             return False
         self._parser = httptools.HttpResponseParser(self)
-        self._answer, self._junk = None, False
-        self._status, self._size = 0, 0
-        self._headers: Headers = []
-        self._chunks: list[bytes] = []
+        self._answer, self._junk, self._ended = None, False, False
+        self._begin_answer()
         try:
             sent = os.write(self._fd, data)
         except BlockingIOError:
@@ -96,72 +106,187 @@
         except OSError:
             self.close()
             return False
-        self._done = done
+        self._done, self._written, self._free = done, written, free
+        self._upload, self._rest = upload, None
+        self._last, self.whole = upload is None, False
         if sent < len(data):
-            self._written = written
-            transport.write(data[sent:])  # from here on a break counts as may-have-run
-        else:
-            written()
+            transport.write(data[sent:])
+        if upload is not None:
+            upload.attach(self)
+        elif not self._clogged:
+            self._went()
         return True
 
-    def resume_writing(self) -> None:
-        written, self._written = self._written, None
-        if written is not None:
-            written()
-
     def close(self) -> None:
-        self._done = None
+        self._done, self._free, self._rest = None, nothing, None
+        self._let_go()
         if self._transport is not None:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def _let_go(self) -> None:
+        if self._upload is not None:
+            self._upload.detach()
+            self._upload = None
+
+    # ---- the request's way out
+
+    def body(self, piece: bytes) -> None:
+        if self._transport is not None and self._upload is not None:
+            self._transport.write(chunk(piece) if self._upload.length is None else piece)
+            if self._clogged:
+                self._upload.clog(True)
+
+    def body_end(self, whole: bool) -> None:
+        if self._transport is not None and self._upload is not None:
+            self._last = True
+            if self._upload.length is None:
+                self._transport.write(LAST_CHUNK)
+            if not self._clogged:
+                self._went()
+
+    def _went(self) -> None:
+        """The last byte has gone out: from here on a break counts as may-have-run."""
+        self.whole = True
+        self._written()
+
+    def pause_writing(self) -> None:
+        self._clogged = True
+        self._watch_progress()
+
+    def resume_writing(self) -> None:
+        self._clogged = False
+        self._watch_progress()
         if self._done is None:
+            return
+        if self._last and not self.whole:
+            self._went()
+        elif self._upload is not None:
+            self._upload.clog(False)
+
+    def _watch_progress(self) -> None:
+        """Give up a peer that neither takes nor gives for long, where no deadline does."""
+        if self._stalled is not None:
+            self._stalled.cancel()
+            self._stalled = None
+        if self._transport is not None and (self._clogged or (self._rest is not None and not self._paused)):
+            self._stalled = asyncio.get_running_loop().call_later(STALLED, self._transport.abort)
+
+    # ---- the answer's way in
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self._done is None and self._rest is None:
             self.close()  # an answer that nobody asked for
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._junk = True
-        if self._answer is not None:
+        if self._ended:
             # Bytes past the end of the answer make the connection unfit, not the answer.
             self._finish(self._answer, self._keep and not self._junk)
         elif self._junk:
             self._finish(UNREADABLE, False)
+        elif self._rest is not None:
+            self._begin_long()
+            self._watch_progress()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._finish(None, False)
+        under_way = self._done is not None or self._rest is not None
+        if under_way and exc is None and self._until_end:
+            self.on_message_complete()  # such an answer ends with its connection
+        self._finish(self._answer if self._ended else None, False)
+        self._watch_progress()
         if self._on_lost is not None:
             self._on_lost(self)
 
-    def _finish(self, answer: Answer | None, keep: bool) -> None:
+    def _hold(self, on: bool) -> None:
+        """Pause a long answer, or go on with it."""
+        if self._transport is not None and on != self._paused:
+            self._paused = on
+            if on:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+            self._watch_progress()
+
+    def _begin_long(self) -> None:
+        """Whoever waits for the answer gets it as it begins."""
         done, self._done = self._done, None
-        if not keep and self._transport is not None:
+        if done is not None:
+            done(Answer(self._status, self._headers, b"", self._rest))
+
+    def _finish(self, answer: Answer | None, keep: bool) -> None:
+        """The answer is whole, or no more of it will come."""
+        if not (keep and self.whole) and self._transport is not None:
             self._transport.abort()
+        self._let_go()
+        if self._rest is not None:
+            self._begin_long()
+        rest, self._rest = self._rest, None
+        done, self._done = self._done, None
+        free, self._free = self._free, nothing
+        if rest is not None:
+            rest.finish(self._ended)
+        self._hold(False)
+        free()
         if done is not None:
             done(answer)
 
     # ---- httptools' callbacks
 
+    def _begin_answer(self) -> None:
+        self._status = self._size = 0
+        self._headed = self._until_end = False
+        self._headers: Headers = []
+        self._chunks: list[bytes] = []
+
     def on_message_begin(self) -> None:
-        if self._answer is not None:
+        if self._ended:
             self._junk = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value), HEAD_MOST)
-        self._headers.append((name.lower(), value))
+        if not self._headed:  # else it is a trailer
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        self._status, self._size = self._parser.get_status_code(), 0
+        self._headed, self._status, self._size = True, self._parser.get_status_code(), 0
+        if self._status < 200 or self._ended:
+            return
+        told = dict(self._headers)
+        length = told.get(b"content-length")
+        self._until_end = length is None and b"transfer-encoding" not in told and self._status not in BODILESS
+        if length is not None and int(length) > WHOLE_MOST:
+            self._start_long(int(length))
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), self.body_most)
+        if self._rest is not None:
+            self._rest.feed(body)
+            return
         self._chunks.append(body)
+        self._size += len(body)
+        if self._size > self.body_most:
+            self._start_long(None)
+
+    def _start_long(self, length: int | None) -> None:
+        if not self.streams or self._status != 200:
+            if self._size > self.body_most:
+                raise ValueError("answer too long")
+            return
+        self._rest = Stream(self._hold, length, self.close)
+        for piece in self._chunks:
+            self._rest.feed(piece)
+        self._chunks.clear()
 
     def on_message_complete(self) -> None:
         if self._status < 200:  # an interim answer: the real one follows
-            self._headers = []
-        elif self._answer is None:
+            self._begin_answer()
+        elif not self._ended:
+            self._ended = True
             self._answer = Answer(self._status, self._headers, b"".join(self._chunks))
             # Asked after this callback, the parser has forgotten the length and always says no.
             self._keep = self._parser.should_keep_alive()
@@ -183,10 +308,11 @@
 
 
 class Attempt:
-    """A request on its way to an endpoint. It ends exactly once."""
+    """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_done", "_payload", "_pool", "_upstream", "_written",
+        "__weakref__", "_connect", "_connection", "_done", "_payload", "_pool", "_upload", "_upstream",
+        "_written",
     )  # fmt: skip
 
     def __init__(
@@ -196,8 +322,10 @@
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
         written: Callable[[], None],
+        upload: Stream | None,
     ) -> None:
-        self._upstream, self._pool, self._payload, self._written = upstream, pool, payload, written
+        self._upstream, self._pool, self._payload = upstream, pool, payload
+        self._written, self._upload = written, upload
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
@@ -239,13 +367,15 @@
 
     def _write(self, connection: Connection) -> None:
         self._connection = connection
-        if not connection.send(self._payload(), self._answered, self._written):
+        free = partial(self._upstream.give, self._pool, connection)
+        if not connection.send(self._payload(), self._answered, self._written, free, self._upload):
             self._end(Outcome.CONNECT_FAILED, None)
 
     def _answered(self, answer: Answer | None) -> None:
-        if self._connection is not None and answer is not None:
-            self._upstream.give(self._pool, self._connection)
-        self._end(outcome_of(answer), answer)
+        if answer is None and self._connection is not None and not self._connection.whole:
+            self._end(Outcome.CONNECT_FAILED, None)  # it broke before the last byte: it never ran
+        else:
+            self._end(outcome_of(answer), answer)
 
     def _end(self, outcome: int, answer: Answer | None) -> None:
         done, self._done = self._done, None
@@ -323,13 +453,14 @@
         endpoint: EndpointId,
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
-        written: Callable[[], None] = lambda: None,
+        written: Callable[[], None] = nothing,
+        upload: Stream | None = None,
     ) -> Attempt | None:
         """A new attempt, not yet started; None where the endpoint wants nothing new."""
         pool = self._pools.get(endpoint)
         if pool is None or pool.health != Health.READY:
             return None
-        return Attempt(self, pool, payload, done, written)
+        return Attempt(self, pool, payload, done, written, upload)
 
     def probe(self, endpoint: EndpointId, done: Callable[[int, int, tuple[float, ...]], None]) -> None:
         began = self._now()
@@ -337,6 +468,8 @@
         def ended(outcome: int, answer: Answer | None) -> None:
             timer.cancel()
             self._probes.discard(attempt)
+            if answer is not None and answer.rest is not None:
+                answer.rest.drop()
             if answer is not None and answer.status == 503:
                 outcome = Outcome.FULL
             done(outcome, self._now() - began, self.report(answer, body=True))
@@ -402,6 +535,7 @@
                 pool.idle.remove(connection)
 
         connection = Connection(lost)
+        connection.streams = True
         self._open += 1
         self._count("handshakes")
         host, port = pool.dial
