Test long bodies, framing, cuts and clocks; a pause counts from the last byte of any kind

The test of a body at the least rate in pieces of a second showed the time of the head counted as a pause of the body, so such a body was cut off at its first piece.

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -136,7 +136,7 @@
         self._fresh = True  # no request has come yet
         self._overdue: asyncio.TimerHandle | None = None  # while a request is awaited or has come in part
         self._stalled: asyncio.TimerHandle | None = None  # while the client does not read, or after the end
-        self._spent = 0.0  # seconds that the request has been waited for
+        self._spent = self._quiet = 0.0  # seconds that the request, and any byte of it, was waited for
         self._begin()
 
     @property
@@ -210,6 +210,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self._ended:
             return
+        self._quiet = 0.0
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -481,7 +482,6 @@
         self._size += len(body)
         if self._size > LONG_MOST:
             self._fault(413, HTTPStatus(413).phrase)
-        self._quiet = 0.0
         exchange = self._exchange
         assert exchange is not None
         if exchange.upload is not None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -525,3 +525,18 @@
             b.answer(send, api.Outcome.CONNECT_FAILED, MS)
             b.give(api.Gone(send.id))
     assert b.balancer.crossing < 0.6
+
+
+def test_a_request_that_is_still_coming_is_no_evidence_of_a_wait_and_its_time_counts_from_its_end() -> None:
+    b = Bench(settings(request_class(late_worth=0.0), max_attempts=1))
+    [sent] = b.give(api.Request(1, 0, 0, 0, b.now + 2 * SECOND, 0, False, True))
+    assert isinstance(sent, api.Send)
+    for _ in range(6):
+        b.tick()
+    assert b.balancer.pressure <= 0 and b.balancer.cut == 0
+    b.give(api.Uploaded(1, b.now + 2 * SECOND))
+    for _ in range(3):
+        b.tick()
+    assert b.balancer.pressure > 0  # from here on it does wait
+    [final] = b.give(api.Completed(1, 0, sent.endpoint, api.Outcome.TIMEOUT, SECOND, False, ()))
+    assert isinstance(final, api.Refuse)
--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,670 @@
+"""Long bodies, slow peers, and every form in which HTTP/1.1 frames a message."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranespindle import api
+from cranespindle.api import Outcome
+from cranespindle.node import config
+from cranespindle.node.frontend import (
+    HEAD_WITHIN,
+    JUDGED_FROM,
+    RATE_LEAST,
+    TICK,
+    ClientConnection,
+    Exchange,
+    Frontend,
+)
+from cranespindle.node.host import Incoming
+from cranespindle.node.stream import (
+    ANSWER_ROOM,
+    LONG_MOST,
+    READ_BUFFER,
+    READ_MOST,
+    WHOLE_MOST,
+    Budget,
+    Stream,
+)
+from cranespindle.node.upstream import Answer
+from tests.sidecar import Sidecar, configuration, dead_dial, endpoint, ok, request, run, sidecar, status
+
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+LONG = bytes(range(256)) * 2048  # half a megabyte, in which a lost or repeated piece shows
+
+
+@contextlib.asynccontextmanager
+async def raw(handler: Handler) -> AsyncIterator[str]:
+    """An engine that does with its connections what the handler does; its address."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await handler(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
+
+
+async def head_of(reader: asyncio.StreamReader) -> dict[bytes, bytes]:
+    lines = (await reader.readuntil(b"\r\n\r\n")).lower().split(b"\r\n")
+    return dict(line.split(b": ", 1) for line in lines[1:] if line)
+
+
+async def chunks_of(reader: asyncio.StreamReader) -> bytes:
+    body = b""
+    while size := int((await reader.readuntil(b"\r\n")).partition(b";")[0], 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    await reader.readuntil(b"\r\n")
+    return body
+
+
+async def body_of(reader: asyncio.StreamReader, headers: dict[bytes, bytes]) -> bytes:
+    if headers.get(b"transfer-encoding") == b"chunked":
+        return await chunks_of(reader)
+    return await reader.readexactly(int(headers.get(b"content-length", b"0")))
+
+
+def chunked(body: bytes, size: int = 50_000, trailer: bytes = b"") -> bytes:
+    pieces = [body[at : at + size] for at in range(0, len(body), size)]
+    return b"".join(b"%x;n=v\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\n" + trailer + b"\r\n"
+
+
+def posted(framing: bytes, extra: bytes = b"") -> bytes:
+    return request("post", extra=extra + framing)
+
+
+TRAILER = b"Req-Id: smuggled\r\nX-Sum: " + b"5" * 20_000 + b"\r\n"
+LENGTH = b"Content-Length: %d\r\n" % len(LONG)
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+async def nothing_held(node: Sidecar) -> None:
+    """Wait until the ledger is empty; then no memory is reserved any more."""
+    while node.host._open:
+        await asyncio.sleep(0.01)
+    assert node.host.budget.used == 0
+    assert node.host.figures()["in_progress"] == 0
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        posted(LENGTH) + LONG,
+        posted(CHUNKED) + chunked(LONG),
+        posted(CHUNKED) + chunked(LONG, trailer=TRAILER),
+        posted(CHUNKED) + chunked(LONG[:WHOLE_MOST], trailer=TRAILER),
+    ],
+)
+@pytest.mark.parametrize("form", ["length", "chunks", "close"])
+def test_long_bodies_pass_unchanged_in_both_directions_whatever_their_framing(sent: bytes, form: str) -> None:
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        headers = await head_of(reader)
+        assert headers[b"req-id"] == b"9b1f"
+        body = await body_of(reader, headers)
+        if form == "length":
+            writer.write(ok(body))
+        elif form == "chunks":
+            writer.write(b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n" + chunked(body, trailer=b"X: y\r\n"))
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+        await writer.drain()
+
+    async def test() -> None:
+        async with raw(echo) as dial, sidecar(dial) as node:
+            client = await node.client()
+            expected = LONG if len(sent) > len(LONG) else LONG[:WHOLE_MOST]
+            for _ in range(2):  # the client's connection stays in step
+                client.writer.write(sent)
+                headers = await head_of(client.reader)
+                assert await body_of(client.reader, headers) == expected
+            await nothing_held(node)
+            figures = node.host.figures()
+            assert figures["passed"]["post"] == figures["upstream_tries"] == 2
+
+    run(test())
+
+
+def test_blanks_around_a_header_value_are_no_part_of_it() -> None:
+    async def test() -> None:
+        async with endpoint(lambda seen: _ok()) as served, sidecar(served.dial) as node:
+            raw_request = request("post").replace(b"Req-Kind: post\r\n", b"Req-Kind: \t post \t\r\n")
+            assert (await (await node.client()).ask(raw_request))[0] == 200
+
+    run(test())
+
+
+async def _ok() -> bytes:
+    return ok()
+
+
+def test_a_long_answer_is_not_cut_by_the_deadline_once_it_has_begun() -> None:
+    async def test() -> None:
+        overdue = asyncio.Event()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + LENGTH + b"\r\n" + LONG[:100_000])
+            await overdue.wait()
+            writer.write(LONG[100_000:])
+            await writer.drain()
+
+        async with raw(slow) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request(deadline="0.2"))
+            headers = await head_of(client.reader)
+            begun = await client.reader.readexactly(100_000)  # it goes on as it comes
+            [ledger] = node.host._open.values()
+            while node.host.now() < ledger.expires + 10**8:
+                await asyncio.sleep(0.05)
+            event = await node.event(lambda e: isinstance(e, api.Completed))
+            assert (event.outcome, event.over) == (Outcome.OK, True)  # the module hears of its beginning
+            overdue.set()
+            rest = await client.reader.readexactly(int(headers[b"content-length"]) - len(begun))
+            assert begun + rest == LONG
+            await nothing_held(node)
+
+    run(test())
+
+
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKED])
+def test_the_client_can_tell_a_long_answer_that_breaks_from_a_whole_one(
+    version: bytes, framing: bytes
+) -> None:
+    async def breaking(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        part = LONG[:200_000] if framing == LENGTH else chunked(LONG[:200_000])[:-5]
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + part)
+        await writer.drain()
+        writer.transport.abort()
+
+    async def test() -> None:
+        async with raw(breaking) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request().replace(b"HTTP/1.1", b"HTTP/" + version))
+            with contextlib.suppress(ConnectionError):
+                headers = await head_of(client.reader)
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                    if version == b"1.0" and framing == CHUNKED:
+                        assert headers[b"connection"] == b"close"
+                        await client.reader.read()  # ended by close: only a reset tells
+                    else:
+                        await body_of(client.reader, headers)
+            await nothing_held(node)
+            assert node.host.figures()["bad_gateway"]["read"] == 1
+            assert node.host.figures()["passed"]["read"] == 0
+
+    run(test())
+
+
+def test_an_old_caller_gets_an_answer_without_chunks_that_ends_with_the_connection() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n" + chunked(LONG))
+        await writer.drain()
+
+    async def test() -> None:
+        async with raw(script) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            headers = await head_of(client.reader)
+            assert b"transfer-encoding" not in headers and await client.reader.read() == LONG
+
+    run(test())
+
+
+def test_interim_answers_are_passed_over() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        writer.write(b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + ok(b"done"))
+        await writer.drain()
+
+    async def test() -> None:
+        async with raw(script) as dial, sidecar(dial) as node:
+            code, headers, body = await (await node.client()).ask(request("post"))
+            assert (code, body) == (200, b"done") and b"link" not in headers
+
+    run(test())
+
+
+# ---- when a long request may be sent again
+
+
+def test_a_long_request_is_tried_elsewhere_as_long_as_nothing_of_it_was_handed_on() -> None:
+    async def test() -> None:
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            assert await body_of(reader, await head_of(reader)) == LONG
+            writer.write(ok(b"taken"))
+            await writer.drain()
+
+        async with raw(take) as dial, sidecar(*(dead_dial() for _ in range(3)), dial) as node:
+            node.host._balancer.budget = 5.0
+            for _ in range(4):
+                code, _, body = await (await node.client()).ask(posted(LENGTH) + LONG)
+                assert (code, body) == (200, b"taken")
+            assert any(
+                isinstance(e, api.Completed) and e.outcome == Outcome.CONNECT_FAILED for e in node.events
+            )
+
+    run(test())
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_long_request_that_was_begun_is_not_sent_again_and_never_ran(refused: bool) -> None:
+    begun: list[bytes] = []
+
+    async def stop(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        begun.append(await reader.readexactly(1000))
+        if refused:  # the answer comes before the body is whole
+            writer.write(status(503, b"Srv-Declined: 1"))
+            await writer.drain()
+            await reader.read()
+        writer.transport.abort()
+
+    async def test() -> None:
+        async with raw(stop) as one, raw(stop) as other, sidecar(one, other) as node:
+            client = await node.client()
+            client.writer.write(posted(LENGTH) + LONG[:200_000])
+            code, _, _ = await client.answer()
+            assert code == 503 and len(begun) == 1
+            client.writer.write(LONG[200_000:])  # it still sends the rest, and is understood afterwards
+            assert (await client.ask(request("odd")))[0] == 400
+            await nothing_held(node)
+            figures = node.host.figures()
+            assert figures["upstream_tries"] == 0 and figures["dropped"]["post"] == 1
+
+    run(test())
+
+
+def test_a_client_that_leaves_in_the_middle_of_its_body_frees_all_that_was_its() -> None:
+    async def test() -> None:
+        arrived, left = asyncio.Event(), asyncio.Event()
+
+        async def wait(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            arrived.set()
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            left.set()
+
+        async with raw(wait) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(posted(LENGTH) + LONG[:100_000])
+            await arrived.wait()
+            client.writer.close()
+            await left.wait()
+            await nothing_held(node)
+            assert node.host.upstream.connections == 0
+
+    run(test())
+
+
+def test_a_client_that_leaves_in_the_middle_of_its_answer_ends_the_engines_sending() -> None:
+    async def test() -> None:
+        left = asyncio.Event()
+
+        async def endless(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n")
+            try:
+                while True:
+                    writer.write(b"%x\r\n%s\r\n" % (len(LONG), LONG))
+                    await writer.drain()
+            except ConnectionError:
+                left.set()
+
+        async with raw(endless) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request())
+            await client.reader.readexactly(100_000)
+            client.writer.transport.abort()
+            await left.wait()
+            await nothing_held(node)
+
+    run(test())
+
+
+# ---- memory
+
+
+def test_without_room_a_request_is_refused_unsent_and_room_comes_back() -> None:
+    async def test() -> None:
+        go_on = asyncio.Event()
+
+        async def held(seen: object) -> bytes:
+            await go_on.wait()
+            return ok()
+
+        async with endpoint(held) as served, sidecar(served.dial) as node:
+            node.host.budget.most = ANSWER_ROOM + 10
+            first, second = await node.client(), await node.client()
+            first.writer.write(request())
+            await served.arrived.wait()
+            assert (await second.ask(request()))[0] == 503
+            go_on.set()
+            assert (await first.answer())[0] == 200
+            await nothing_held(node)
+            assert (await second.ask(request()))[0] == 200
+            assert len(served.seen) == 2 and node.host.figures()["dropped"]["read"] == 1
+
+    run(test())
+
+
+def test_the_memory_for_bodies_leaves_room_for_a_second_process() -> None:
+    told = config.parse(configuration(limits={"memory_mb": 80}))
+    own = 15_000_000
+    assert 2 * (own + told.bodies_most(own)) < told.memory
+    assert config.parse(configuration(limits={})).memory == config.MEMORY_LEAST * 1_000_000
+
+
+class Taker:
+    """A sink that takes what it is told to."""
+
+    def __init__(self) -> None:
+        self.got: list[Any] = []
+
+    def body(self, piece: bytes) -> None:
+        self.got.append(piece)
+
+    def body_end(self, whole: bool) -> None:
+        self.got.append(whole)
+
+
+def test_a_stream_pauses_its_source_without_a_sink_or_while_that_is_clogged() -> None:
+    paused: list[bool] = []
+    stream, sink = Stream(paused.append, None), Taker()
+    stream.feed(b"a")
+    assert paused == [True] and not stream.started
+    stream.attach(sink)
+    assert paused == [True, False] and sink.got == [b"a"] and stream.started
+    stream.clog(True)
+    stream.clog(False)
+    assert paused[2:] == [True, False]
+    stream.finish(True)
+    stream.clog(True)  # the source has gone on to other things
+    assert paused[4:] == [] and sink.got == [b"a", True]
+
+
+def test_a_dropped_stream_throws_away_what_comes_and_holds_nobody_up() -> None:
+    paused: list[bool] = []
+    stream = Stream(paused.append, 5)
+    stream.feed(b"ab")
+    stream.drop()
+    stream.feed(b"cde")
+    stream.finish(True)
+    assert paused == [True, False] and stream._held == []
+
+
+# ---- the client's side by hand: any cut, and the clock
+
+
+class Handle:
+    def __init__(self, after: float, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        self.after, self.call, self.args = after, call, args
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class Loop:
+    def __init__(self) -> None:
+        self.timers: list[Handle] = []
+
+    def call_later(self, after: float, call: Callable[..., None], *args: Any) -> Handle:
+        self.timers.append(Handle(after, call, args))
+        return self.timers[-1]
+
+    def tick(self) -> None:
+        due, self.timers = [t for t in self.timers if not t.cancelled], []
+        for timer in due:
+            timer.call(*timer.args)
+
+
+class Wire:
+    """A transport to a client that reads all it is sent, and sends only what is fed."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+        self.closed = False
+        self.socket, self.other_end = socket.socketpair()
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.socket
+
+    def write(self, data: bytes) -> None:
+        self.written.append(data)
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = write_eof = close
+
+    def pause_reading(self) -> None: ...
+
+    def resume_reading(self) -> None: ...
+
+    def set_write_buffer_limits(self, high: int) -> None: ...
+
+
+class Ledger:
+    """Takes the requests of a connection and answers each with 'taken' once it is whole."""
+
+    def __init__(self) -> None:
+        self.budget = Budget(10**8)
+        self.listed = self.informed = True
+        self.taken: list[tuple[bytes, bytes]] = []  # method and body of each
+        self.gone_ids: list[int] = []
+        self._ids = 0
+        self._coming: dict[int, tuple[Exchange, Incoming, Taker]] = {}
+
+    def request(
+        self, exchange: Exchange, incoming: Incoming, room: int, upload: Stream | None = None
+    ) -> None:
+        self._ids += 1
+        exchange.id = self._ids
+        self.budget.give(room)
+        if upload is None:
+            self._take(exchange, incoming, incoming.body)
+        else:
+            sink = Taker()
+            upload.attach(sink)
+            self._coming[exchange.id] = exchange, incoming, sink
+
+    def uploaded(self, rid: int) -> None:
+        exchange, incoming, sink = self._coming.pop(rid)
+        self._take(exchange, incoming, b"".join(sink.got))
+
+    def _take(self, exchange: Exchange, incoming: Incoming, body: bytes) -> None:
+        self.taken.append((incoming.head.split()[0], body))
+        exchange.serve(Answer(200, [], b"taken"))
+
+    def count(self, name: str) -> None: ...
+
+    def gone(self, rid: int) -> None:
+        self.gone_ids.append(rid)
+
+    def ended(self, rid: int, broken: bool = False) -> None: ...
+
+
+class Peer:
+    """A client's connection, fed by hand."""
+
+    def __init__(self) -> None:
+        self.loop, self.ledger, self.wire = Loop(), Ledger(), Wire()
+        told = config.parse(configuration())
+        frontend = Frontend(told, cast(Any, self.ledger), cast(Any, self.loop))
+        self.connection = ClientConnection(frontend)
+        self.connection.connection_made(cast(Any, self.wire))
+
+    def feed(self, data: bytes) -> None:
+        for at in range(0, len(data), READ_MOST):
+            piece = data[at : at + READ_MOST]
+            READ_BUFFER[: len(piece)] = piece
+            self.connection.buffer_updated(len(piece))
+
+    def wait(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK)):
+            self.loop.tick()
+
+    @property
+    def said(self) -> bytes:
+        return b"".join(self.wire.written)
+
+
+SHORT, BARELY, OVER = b"s" * 300, b"b" * WHOLE_MOST, b"o" * (WHOLE_MOST + 1)
+FORMS = [
+    (request(), b"GET", b""),
+    (request("post", body=SHORT), b"POST", SHORT),
+    (posted(CHUNKED) + chunked(SHORT, 7, b"X-Sum: 5\r\n"), b"POST", SHORT),
+    (posted(CHUNKED) + chunked(BARELY), b"POST", BARELY),
+    (posted(CHUNKED) + chunked(OVER, 30_000, b"Req-Kind: read\r\n"), b"POST", OVER),
+    (request("post", body=OVER), b"POST", OVER),
+]
+
+
+@settings(deadline=None, max_examples=60)
+@given(
+    st.lists(st.sampled_from(FORMS), min_size=1, max_size=5),
+    st.lists(st.integers(1, 300_000), max_size=30),
+)
+def test_requests_are_the_same_wherever_they_are_cut(
+    forms: list[tuple[bytes, bytes, bytes]], cuts: list[int]
+) -> None:
+    peer, sent = Peer(), b"".join(form[0] for form in forms)
+    ends = sorted({cut % (len(sent) + 1) for cut in cuts} | {0, len(sent)})
+    for start, end in itertools.pairwise(ends):
+        peer.feed(sent[start:end])
+    assert peer.ledger.taken == [(method, body) for _, method, body in forms]
+    assert peer.said.count(b"HTTP/1.1 200 OK") == len(forms)
+    assert peer.ledger.budget.used == 0
+
+
+SMUGGLED = b"GET /admin HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5\r\nContent-Length: 50\r\n",
+        b"Content-Length: 5, 5\r\n",
+        b"Content-Length: +5\r\n",
+        b"Content-Length: -5\r\n",
+        b"Content-Length: 0x5\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    ],
+)
+def test_a_framing_that_can_be_read_in_two_ways_is_refused_and_ends_the_connection(framing: bytes) -> None:
+    peer = Peer()
+    peer.feed(posted(framing) + b"0\r\n\r\n" + SMUGGLED)
+    assert peer.ledger.taken == [] and peer.ledger.budget.used == 0
+    assert peer.said.startswith(b"HTTP/1.1 400 ") and peer.said.count(b"HTTP/1.1") == 1
+    assert peer.wire.closed
+
+
+def test_a_body_beyond_the_most_gets_413_however_it_is_framed() -> None:
+    peer = Peer()
+    peer.feed(posted(b"Content-Length: %d\r\n" % (LONG_MOST + 1)))
+    assert peer.said.startswith(b"HTTP/1.1 413 ")
+    peer = Peer()
+    peer.feed(posted(CHUNKED))
+    megabyte = b"%x\r\n%s\r\n" % (2**20, bytes(2**20))
+    for _ in range(32):
+        peer.feed(megabyte)
+    assert peer.said == b""
+    peer.feed(b"1\r\nx\r\n")
+    assert peer.said.startswith(b"HTTP/1.1 413 ") and peer.ledger.gone_ids == [1]
+    peer.feed(megabyte)  # what it still sends is thrown away
+
+
+def test_a_client_that_waits_is_told_to_send_once_its_turn_has_come() -> None:
+    peer = Peer()
+    peer.feed(posted(LENGTH, b"Expect: 100-Continue\r\n"))
+    assert peer.said == b"HTTP/1.1 100 Continue\r\n\r\n"
+    peer.feed(LONG)
+    assert peer.ledger.taken == [(b"POST", LONG)] and b"HTTP/1.1 200" in peer.said
+
+
+def test_a_client_that_waits_and_gets_a_final_answer_instead_is_not_told_to_send() -> None:
+    for raw_request in (
+        posted(LENGTH, b"Expect: 100-continue\r\n").replace(b"Req-Kind: post", b"Req-Kind: odd"),
+        posted(LENGTH, b"Expect: 100-continue\r\nX: " + b"x" * 40_000 + b"\r\n"),
+    ):
+        peer = Peer()
+        peer.feed(raw_request)
+        assert peer.said.startswith(b"HTTP/1.1 4") and b"100 Continue" not in peer.said
+        assert b"Connection: close" in peer.said
+
+
+def test_a_head_may_take_two_seconds_and_no_longer_than_a_peer_is_owed() -> None:
+    assert 2.0 < HEAD_WITHIN < JUDGED_FROM < 3.0
+    peer = Peer()
+    peer.wait(1.0)
+    peer.feed(request()[:50])
+    peer.wait(1.25)
+    assert not peer.wire.closed
+    peer.feed(request()[50:])
+    assert len(peer.ledger.taken) == 1
+    peer.feed(request()[:50])
+    peer.wait(HEAD_WITHIN)
+    assert b"HTTP/1.1 408" in peer.said and peer.wire.closed
+
+
+@pytest.mark.parametrize("every", [0.25, 1.0])
+def test_a_body_at_the_least_rate_is_taken_in_pieces_of_any_size(every: float) -> None:
+    peer = Peer()
+    peer.wait(2.0)
+    peer.feed(posted(LENGTH))
+    piece = int(64_000 * every)
+    for at in range(0, len(LONG), piece):
+        peer.wait(every)
+        peer.feed(LONG[at : at + piece])
+    assert peer.ledger.taken == [(b"POST", LONG)]
+
+
+def test_a_body_that_stalls_or_trickles_gets_408() -> None:
+    peer = Peer()
+    peer.feed(posted(LENGTH) + LONG[:60_000])
+    peer.wait(3.0)
+    assert peer.said.startswith(b"HTTP/1.1 408") and peer.ledger.gone_ids == [1]
+    peer = Peer()
+    peer.feed(posted(LENGTH))
+    for at in range(12):
+        peer.feed(LONG[at * RATE_LEAST // 8 : (at + 1) * RATE_LEAST // 8])  # half of the least rate
+        peer.wait(TICK)
+    assert peer.said.startswith(b"HTTP/1.1 408") and peer.wire.closed
+
+
+def test_the_time_in_which_nobody_takes_the_body_is_not_the_clients() -> None:
+    peer = Peer()
+    peer.feed(posted(LENGTH) + LONG[:1000])
+    peer.connection._hold(True)
+    peer.wait(30.0)
+    assert peer.said == b""
+    peer.connection._hold(False)
+    peer.feed(LONG[1000:])
+    assert peer.ledger.taken == [(b"POST", LONG)]
