--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -15,7 +15,7 @@
 
 import uvloop
 
-from cranespindle.node.config import SECOND, Address, Config, ConfigError, load
+from cranespindle.node.config import Address, Config, ConfigError, load
 from cranespindle.node.discovery import Discovery
 from cranespindle.node.frontend import ClientConnection, Frontend
 from cranespindle.node.host import Clock, Host
@@ -46,7 +46,8 @@
     host.start(config.known)
     discovery = Discovery(config, host, loop)
     discovery.start()
-    loop.add_signal_handler(signal.SIGHUP, reconfigure, discovery)
+    taken = [config]  # the file in force
+    loop.add_signal_handler(signal.SIGHUP, reconfigure, taken, host, frontend, discovery)
     listener = shared_listener(config.listen)
     server = await loop.create_server(lambda: ClientConnection(frontend), sock=listener, backlog=BACKLOG)
     frontend.listening = True
@@ -58,9 +59,8 @@
     server.close()
     frontend.close_idle()
     # Whoever never finishes sending its request is not waited for.
-    longest = max(cls.limit for cls in config.settings.classes) / SECOND
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(frontend.finished(), longest)
+        await asyncio.wait_for(frontend.finished(), host.longest)
 
 
 def shared_listener(address: Address) -> socket.socket:
@@ -91,12 +91,21 @@
         log.warning("new connections cannot be steered to a successor: %s", problem)
 
 
-def reconfigure(discovery: Discovery) -> None:
-    """Take up the replaced configuration file: where discovery is. What cannot be read changes nothing."""
+def reconfigure(taken: list[Config], host: Host, frontend: Frontend, discovery: Discovery) -> None:
+    """Take up the replaced configuration file: settings, and where discovery is. All of it or nothing."""
     try:
-        discovery.move(load(os.environ).discovery)
+        fresh = load(os.environ)
+        fresh.check_complete(taken[0])
     except ConfigError as problem:
+        host.telemetry.load_errors += 1
         log.warning("the configuration stays as it was: %s", problem)
+        return
+    host.telemetry.loads += 1
+    taken[0] = fresh
+    frontend.retune(fresh)
+    host.retune(fresh)
+    discovery.retune(fresh)
+    log.info("the configuration is taken: classes %s", ", ".join(c.name for c in fresh.settings.classes))
 
 
 def main() -> int:
--- a/cranespindle/api.py
+++ b/cranespindle/api.py
@@ -169,6 +169,12 @@
     report: tuple[float, ...]
 
 
+class Retuned(NamedTuple):
+    """Other settings hold for the requests to come. The simulator has no such event."""
+
+    settings: Settings
+
+
 class PeerMessage(NamedTuple):
     sender: int
     body: bytes
@@ -185,6 +191,7 @@
     | Timer
     | Probed
     | PeerMessage
+    | Retuned
 )
 
 
--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -14,15 +14,13 @@
 from cranespindle import api
 from cranespindle.api import Effect, Health, ListKind, Outcome, Scope
 
-SECOND = 1_000_000_000
-HOUR = 3600 * SECOND
+SECOND, HOUR = 1_000_000_000, 3600 * 1_000_000_000
 USER_LEVELS = 128  # from the write-up
 
 CYCLE = 0.5  # in mean aims, by which queues build: a burst is over before slower cycles shed
 CYCLE_COUNT = 2000  # or this many sends, as in the write-up
 CYCLE_MOST = 3.0  # mean aims that a cycle short of evidence waits for more
-EVIDENCE = 3.0  # outcomes that a verdict needs, so that one late answer moves nobody
-EVIDENCE_POOLED = 0.5  # the same where peers share: what is pooled is a mean over many sidecars
+EVIDENCE, EVIDENCE_POOLED = 3.0, 0.5  # outcomes that a verdict needs; where peers pool theirs, to a mean
 OVER_LEAST = 0.1  # mean wait, as a share of the class slack (aim less service), that counts as overload
 OVER_SERVICES = 1.5  # and so many service times more: few cores queue that much at ordinary load
 SERVICE_MOST = 0.25  # a service time is not taken for more of the slack: at a start in overload none is known
@@ -33,13 +31,11 @@
 HISTOGRAM_KEEP = 0.9  # share of the histogram kept from cycle to cycle: sparse traffic needs some seconds
 SHED_MOST = 0.9  # never shed all: with no sends there is no evidence
 BASE_DRIFT = 1.0025  # the no-wait latency of a class may rise this much a cycle, to forget an old minimum
-BASE_MOST = 0.5  # and is never taken for more than this share of the aim
-BASE_GUESS = 0.25  # before any answer it counts as this share: a start in overload must show at once
+BASE_MOST, BASE_GUESS = 0.5, 0.25  # it is at most that share of the aim; before any answer it counts as this
 SMOOTH = 0.25  # weight of a new sample in an endpoint's estimates
 LATENCY_KEEP = 0.95  # share of the class means' evidence kept from cycle to cycle: about 5 s worth
 FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
-SUBSET_LEAST = 4  # members of an almost idle sidecar where connections are priced
-SUBSET_FREE = 8  # and where they are not
+SUBSET_LEAST, SUBSET_FREE = 4, 8  # members of an almost idle sidecar where connections are priced, or not
 SUBSET_GROWTH = 1.5  # further members for each request in flight, over all zones, so that one is idle
 SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 FAILS_TO_EJECT = 3  # failures in a row that eject a member
@@ -49,11 +45,9 @@
 SPILL_STEP = 0.025  # change of the chance to cross zones, a cycle, for a difference that counts as overload
 STAY_AWAY = SECOND  # advice to a refused client, where clients take any: some cycles
 ASK_SPREAD = 0.4  # part of the time to ask in over which sidecars restarted in bulk spread their first call
-POOL_KEEP = 0.6  # share of the pooled evidence kept from cycle to cycle: about a second's worth
-POOL_KEEP_MOST = 0.85  # where it is thin, some seconds' worth
+POOL_KEEP, POOL_KEEP_MOST = 0.6, 0.85  # of pooled evidence kept a cycle: some second's worth; where thin
 EVIDENCE_FULL = 8.0  # outcomes in the pool from which it is thick enough for the shorter memory
-PEERS = 1  # peers told each cycle
-PEER_MIX = 0.25  # weight of a peer's cut, so that the fleet holds one cut and sheds smoothly
+PEERS, PEER_MIX = 1, 0.25  # told each cycle; weight of a peer's cut, so that the fleet sheds smoothly
 SETTLED = 4  # cycles after which a sidecar's own cut is worth telling
 HEAD = Struct("<Bf")  # of a message: zone and cut (-1: none yet); then what is pooled, as half floats
 TOLD_MOST = 60_000.0  # the largest number told: a half float holds no more, and a larger one would be a fault
@@ -94,37 +88,43 @@
         self.streak = self.failed_at = self.ejections = self.out_until = 0
 
 
+class Kind:
+    """A class of requests, and what was learned of it."""
+
+    def __init__(self, cls: api.RequestClass) -> None:
+        self.cls, self.business = cls, 0
+        self.mean = self.base = 0.0  # latency over some seconds; without wait: that's slowly rising minimum
+        self.latency = [0.0, 0.0]  # summed over the aim, and count; shared with peers
+        self.try_left = 0  # the longest that a first try has been given
+
+
 class Pending:
     """A request that is owed its final answer."""
 
-    def __init__(self, event: api.Request, now: int) -> None:
-        self.id, self.cls, self.expires, self.arrived = event.id, event.cls, event.expires, now
+    def __init__(self, event: api.Request, kind: Kind, tries: int, now: int) -> None:
+        self.id, self.expires, self.arrived = event.id, event.expires, now
+        self.kind, self.cls, self.tries = kind, kind.cls, tries  # as they were when it came
         self.key, self.coming = event.key, event.coming
-        self.attempts = self.sent = self.ran_at = 0
+        self.attempts = self.sent = self.ran_at = self.steps = self.open = 0
         self.member: Member | None = None  # where its last attempt went
         self.ran: Member | None = None  # where it first may have run
         self.counted = 0.0  # how much of its wait is in the evidence already
         self.asked: list[Member] = []  # members asked by a probe whether they are idle
-        self.steps = self.open = 0
         self.best: Member | None = None  # the quickest of those that answered
         self.best_took, self.best_far = 2 * HOUR, False
 
 
 class Balancer:
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
-        self.classes = settings.classes
-        self.aim = sum(c.aim for c in self.classes) / len(self.classes)
-        rng = random.Random(seed)
-        self.rand, self.sample, self.choices = rng.random, rng.sample, rng.choices
+        self.rand, self.sample, self.choices = (rng := random.Random(seed)).random, rng.sample, rng.choices
         self.salt = mix(settings.instance)  # the subset outlives a restart
         self.out: list[api.Action] = []
         self.pending: dict[int, Pending] = {}
         self.handlers = {
             api.Attached: self.on_attached, api.EndpointList: self.on_list, api.Request: self.on_request,
             api.Completed: self.on_completed, api.Gone: self.on_gone, api.Timer: self.on_timer,
-            api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded,
-            api.PeerMessage: self.on_peer, api.Probed: self.on_probed,
+            api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded, api.Probed: self.on_probed,
+            api.PeerMessage: self.on_peer, api.Retuned: lambda now, event: self.adopt(event.settings),
         }  # fmt: skip
         # list and drains
         self.members: dict[bytes, Member] = {}
@@ -135,32 +135,47 @@
         self.subset: list[list[Member]] = [[], []]
         self.credit, self.gain = 0.0, 0.0  # sends to cold members, and what the answer of a warm one earns
         self.peak, self.flying = 0.0, 0
-        self.dirty = True
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
-        # Where sidecars share what they see, and so shed in time, asking costs more than it brings.
-        self.asks = settings.probes and not settings.peers
         self.hop = [0, 0]  # the quickest answer to a probe, in this zone and from others
         # health
-        self.latency = [[0.0, 0.0] for _ in self.classes]  # summed over the aim, and count; shared with peers
-        self.mean = [0.0] * len(self.classes)  # mean latency over some seconds
-        self.base = [0.0] * len(self.classes)  # latency without wait: the mean's slowly rising minimum
+        self.kinds: list[Kind] = []
         self.crossing = 0.0
         # cut
-        worths = {c.worth for c in self.classes}
-        ranks = {worth: i for i, worth in enumerate(sorted(worths))}
-        self.business = [ranks[c.worth] for c in self.classes]
-        self.top = len(ranks) * USER_LEVELS
         self.cut = 0.0
         self.histogram: dict[int, float] = {}
-        self.spread = [0.0] * len(ranks)  # arrivals without keys, by business level; shared with peers
+        self.spread: list[float] = []  # arrivals without keys, by business level; shared with peers
         # Evidence by the zone of the servers, shared with peers: waits over slack, how many, sends, answers.
-        self.evidence = [[0.0] * 4 for _ in range(settings.zones)]
-        self.sends = self.cycles = self.calm = 0
+        self.evidence: list[list[float]] = []
+        self.sends = self.cycles = self.calm = self.cycle_from = 0
         self.pressure, self.over = 0.0, OVER_LEAST + OVER_SERVICES * SERVICE_MOST
-        self.cycle_from = 0
-        self.worth_mean = sum(c.worth for c in self.classes) / len(self.classes)
         self.budget = 1.0
-        self.try_left = [0] * len(self.classes)  # the longest that a first try has been given
+        self.adopt(settings)
+        self.worth_mean = sum(c.worth for c in settings.classes) / len(settings.classes)
+
+    def adopt(self, settings: api.Settings) -> None:
+        """Take up settings. What is known of a class stays with its name, its levels and the cut too."""
+        self.settings, classes, old = settings, settings.classes, {k.cls.name: k for k in self.kinds}
+        ranks = {worth: i for i, worth in enumerate(sorted({c.worth for c in classes}))}
+        moved = {old[c.name].business: ranks[c.worth] for c in reversed(classes) if c.name in old}
+        self.kinds = [old.get(c.name) or Kind(c) for c in classes]
+        for kind, cls in zip(self.kinds, classes, strict=True):
+            kind.latency[0] *= kind.cls.aim / cls.aim
+            kind.base = min(kind.base, cls.aim * BASE_MOST)
+            kind.cls, kind.business = cls, ranks[cls.worth]
+        levels = [(*divmod(level, USER_LEVELS), mass) for level, mass in self.histogram.items()]
+        self.histogram = {moved[b] * USER_LEVELS + user: mass for b, user, mass in levels if b in moved}
+        spread, self.spread = self.spread, [0.0] * len(ranks)
+        for b, new in moved.items():
+            self.spread[new] += spread[b]
+        at = next((b for b in sorted(moved) if self.cut and (b + 1) * USER_LEVELS > self.cut), None)
+        self.cut = 0.0 if at is None else moved[at] * USER_LEVELS + max(0.0, self.cut - at * USER_LEVELS)
+        self.top, self.aim = len(ranks) * USER_LEVELS, sum(c.aim for c in classes) / len(classes)
+        # Where sidecars share what they see, and so shed in time, asking costs more than it brings.
+        self.asks = settings.probes and not settings.peers
+        self.evidence = (self.evidence + [[0.0] * 4 for _ in range(settings.zones)])[: settings.zones]
+        for member in self.members.values():
+            member.zone = min(member.zone, settings.zones - 1)
+        self.rank()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event and return the actions that answer it."""
@@ -251,17 +266,16 @@
         age, least, span = now - member.started, self.settings.cold_from, self.settings.cold_for
         return 1.0 if not member.started or age >= span else least + (1 - least) * max(age, 0) / span
 
-    def expected(self, member: Member, cls: int, now: int) -> float:
+    def expected(self, member: Member, kind: Kind, now: int) -> float:
         """Expected time of a request there, a failure counted as the whole aim; old news fade to the mean."""
         if not member.heard:
-            return self.mean[cls]
+            return kind.mean
         fade = 1 / (1 + max(0, now - member.heard) / (FORGET * self.aim))
-        return self.mean[cls] * (1 + (member.pace - 1) * fade) + member.fails * fade * self.classes[cls].aim
+        return kind.mean * (1 + (member.pace - 1) * fade) + member.fails * fade * kind.cls.aim
 
     def idle(self, side: int, request: Pending, now: int) -> list[Member]:
-        """The warm members that may have the request: those that are free, else all. Where keys are warm on
-        servers that met them, all sidecars take the same few members for a key."""
-        cls, key = self.classes[request.cls], request.key if self.settings.warm_keys else 0
+        """The warm members that may have the request: the free, else all. For a warm key, the same few."""
+        cls, key = request.cls, request.key if self.settings.warm_keys else 0
         within = request.ran if cls.effect == Effect.KEYED else None
         members = [
             m for m in (self.order if key else self.subset)[side]
@@ -280,16 +294,15 @@
             members = others if others and free(others[0], now) else members + others
         if not members:
             return None
-        cls, drawn = request.cls, members if free(members[0], now) else self.choices(members, k=2)
+        kind, drawn = request.kind, members if free(members[0], now) else self.choices(members, k=2)
         rand = self.rand  # decides where nothing is known yet
-        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, cls, now), rand()))
+        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, kind, now), rand()))
 
     def cold(self, far: bool, now: int) -> Member | None:
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
 
-        All sidecars together then send it no more than that part of what a server can do, whoever else is
-        busy, out or cold. A part of what is sent would be far too much once many restart, or in a storm of
-        retries. Only first attempts: further ones come in bursts. With no warm member there is a trickle.
+        All sidecars together then send it no more than that part of what a server can do; a part of what is
+        sent would be too much once many restart. Only first attempts: others come in bursts.
         """
         cold = [m for subset in self.subset[: 1 + far] for m in subset if self.warmth(m, now) < 1]
         if not cold or self.credit < 1:
@@ -298,17 +311,15 @@
         self.credit -= not member.inflight
         return None if member.inflight else member
 
-    def may_cross(self, cls: int) -> bool:
+    def may_cross(self, cls: api.RequestClass) -> bool:
         """A crossing is worth its price only for requests worth more than it."""
-        return bool(self.subset[1]) and self.classes[cls].worth > self.settings.cross_price * self.worth_mean
+        return bool(self.subset[1]) and cls.worth > self.settings.cross_price * self.worth_mean
 
     def ask(self, request: Pending, now: int) -> bool:
         """Ask a few idle members by probe whether they are; the quickest to answer gets the request.
 
-        Of many sidecars with a request a second each, nearly all members are idle to each: that says nothing
-        of their load, and a silent or slow one shows only after it has kept a request. Only where there is
-        time left for the longest stand-still of this sidecar, as a request held then would be lost. Harmful
-        where probes are dear or answered beside the queue: they tell little, and the choice is random.
+        Of many sidecars with a request a second each, nearly all members are idle to each: a slow one shows
+        only after it has kept a request. Only with time left for this sidecar's longest stand-still.
         """
         if self.dirty:
             self.refill(now)
@@ -321,7 +332,7 @@
         for side in (0, 1) if far and request.steps else (int(far),):
             members = self.idle(side, request, now)
             drawn = self.sample(members, min(2 * ASK, len(members)))
-            for member in sorted(drawn, key=lambda m: self.expected(m, request.cls, now))[:ASK]:
+            for member in sorted(drawn, key=lambda m: self.expected(m, request.kind, now))[:ASK]:
                 if member.id not in self.asking:
                     self.asking[member.id] = []
                     self.out.append(api.Probe(member.id))
@@ -391,8 +402,8 @@
 
     def measure(self, member: Member, took: int, outcome: int, request: Pending) -> None:
         """Put an outcome into the class means, the endpoint's pace and this cycle's evidence of waiting."""
-        cls, warmth = request.cls, self.warmth(member, request.sent)
-        aim = self.classes[cls].aim
+        kind, warmth = request.kind, self.warmth(member, request.sent)
+        aim = request.cls.aim
         took = int(took * warmth)  # a cold one works longer: that is no queue
         if outcome in (Outcome.TIMEOUT, Outcome.FULL):
             wait = warmth
@@ -403,10 +414,10 @@
                 self.crossing *= 1 - SPILL_STEP * 4  # a zone cut off shows no waits, and would draw ever more
             return
         else:
-            self.latency[cls][0] += took / aim
-            self.latency[cls][1] += 1
-            base = self.base[cls] or aim * BASE_GUESS
-            pace = took / (self.mean[cls] or took)
+            kind.latency[0] += took / aim
+            kind.latency[1] += 1
+            base = min(kind.base or aim * BASE_GUESS, aim * BASE_MOST)
+            pace = took / (kind.mean or took)
             member.pace = member.pace + SMOOTH * (pace - member.pace) if member.heard else pace
             wait = min(2.0, (took - base) / (aim - base))
         self.witness(member, request, wait)
@@ -424,7 +435,7 @@
 
     def level(self, event: api.Request, now: int) -> tuple[int, float]:
         """The request's level (business x 128 + user), and its place within the level for a smooth cut."""
-        business = self.business[event.cls]
+        business = self.kinds[event.cls].business
         salt = mix(now // HOUR)
         if event.key:
             level = business * USER_LEVELS + mix(event.key ^ salt) % USER_LEVELS
@@ -438,9 +449,7 @@
 
     def segments(self) -> list[tuple[int, int, float]]:
         parts = [(level, 1, mass) for level, mass in self.histogram.items()]
-        parts += [(b * USER_LEVELS, USER_LEVELS, mass) for b, mass in enumerate(self.spread)]
-        parts.sort()
-        return parts
+        return sorted(parts + [(b * USER_LEVELS, USER_LEVELS, mass) for b, mass in enumerate(self.spread)])
 
     def raise_cut(self, share: float) -> None:
         """Climb until the share of what passed is shed."""
@@ -460,11 +469,8 @@
             self.cut = float(at + width)
 
     def ease_cut(self, share: float) -> None:
-        """Descend until the share is let in again, at least one level.
-
-        The share is of what arrived, not of what passed: after a deep cut little passes, and a share of that
-        would keep the cut up for minutes over servers long idle.
-        """
+        """Descend until the share of what arrived is let in again, at least one level: that of what passed,
+        little after a deep cut, would keep the cut up for minutes over servers long idle."""
         parts = self.segments()
         target = share * sum(mass for _, _, mass in parts)
         low = max(0.0, self.cut - 1)
@@ -497,9 +503,9 @@
     def cycle(self, now: int) -> None:
         # A wait is evidence while it lasts: queues that build at once show before their first late answer.
         for request in self.pending.values():
-            member, aim = request.member, self.classes[request.cls].aim
+            member, aim = request.member, request.cls.aim
             if member and not request.coming:
-                base = self.base[request.cls] or aim * BASE_GUESS
+                base = min(request.kind.base or aim * BASE_GUESS, aim * BASE_MOST)
                 lasted = (now - request.sent) * self.warmth(member, request.sent)
                 wait = min(1.0, (lasted - base) / (aim - base))
                 if wait > self.over and wait > request.counted:
@@ -512,14 +518,14 @@
         self.steer(now)
         self.histogram = {lv: mass * HISTOGRAM_KEEP for lv, mass in self.histogram.items() if mass > 0.02}
         self.spread = [mass * HISTOGRAM_KEEP for mass in self.spread]
-        for i, (total, count) in enumerate(self.latency):
+        for kind in self.kinds:
+            (total, count), aim = kind.latency, kind.cls.aim
             if count >= enough:
-                aim = self.classes[i].aim
-                self.mean[i] = mean = total / count * aim
+                kind.mean = mean = total / count * aim
                 # A mean over few answers strays low, and its minimum with it: hence pooled, over seconds.
-                self.base[i] = min(mean, self.base[i] * BASE_DRIFT or aim * BASE_GUESS, aim * BASE_MOST)
-            self.latency[i] = [total * LATENCY_KEEP, count * LATENCY_KEEP]
-        shares = [b / (c.aim - b) for b, c in zip(self.base, self.classes, strict=True) if b]
+                kind.base = min(mean, kind.base * BASE_DRIFT or aim * BASE_GUESS, aim * BASE_MOST)
+            kind.latency = [total * LATENCY_KEEP, count * LATENCY_KEEP]
+        shares = [k.base / (k.cls.aim - k.base) for k in self.kinds if k.base]
         if shares:
             self.over = OVER_LEAST + OVER_SERVICES * min(SERVICE_MOST, sum(shares) / len(shares))
         keep = min(POOL_KEEP_MOST, max(POOL_KEEP, 1 - seen / EVIDENCE_FULL))
@@ -562,7 +568,7 @@
 
     def pooled(self) -> list[list[float]]:
         """What peers share, in the order of their messages."""
-        return [*self.evidence, self.spread, *self.latency]
+        return [*self.evidence, self.spread, *(k.latency for k in self.kinds)]
 
     def tell(self) -> None:
         """Give equal parts of the evidence to a few peers: the fleet's mean forms within some cycles."""
@@ -601,10 +607,10 @@
 
     def on_request(self, now: int, event: api.Request) -> None:
         level, place = self.level(event, now)
-        request = Pending(event, now)
-        self.worth_mean += 0.01 * (self.classes[event.cls].worth - self.worth_mean)
+        request = Pending(event, self.kinds[event.cls], self.settings.max_attempts, now)
+        self.worth_mean += 0.01 * (request.cls.worth - self.worth_mean)
         self.pending[event.id] = request
-        if level + place < self.cut or event.expires <= now or self.useless(event, now):
+        if level + place < self.cut or event.expires <= now or self.useless(event, request.kind, now):
             self.finish(request, now)
         else:
             self.budget = min(RETRY_SAVED, self.budget + RETRY_SHARE)
@@ -617,13 +623,13 @@
             request.coming, request.expires = False, event.expires
             request.arrived = request.sent = now
 
-    def useless(self, event: api.Request, now: int) -> bool:
+    def useless(self, event: api.Request, kind: Kind, now: int) -> bool:
         """Whether this repeat came so late, by the time left of the one deadline, that no answer earns."""
-        cls, left = self.classes[event.cls], event.expires - now
+        cls, left = kind.cls, event.expires - now
         if not event.repeat:
-            self.try_left[event.cls] = max(self.try_left[event.cls], left)
+            kind.try_left = max(kind.try_left, left)
             return False
-        return not cls.late_worth and left < self.try_left[event.cls] and cls.limit - left >= cls.aim
+        return not cls.late_worth and left < kind.try_left and cls.limit - left >= cls.aim
 
     def send(self, request: Pending, now: int) -> None:
         if self.dirty:
@@ -650,7 +656,7 @@
 
     def patience(self, request: Pending, now: int) -> int:
         """How long to wait for this attempt; 0: until the client gives up."""
-        cls = self.classes[request.cls]
+        cls = request.cls
         left = request.arrived + cls.aim - now
         # Members that were asked and still answer late have a queue, built of what they hold beyond the aim.
         brief = not cls.late_worth or (self.asks and self.pressure > self.over / 2)
@@ -677,8 +683,8 @@
             self.finish(request, now)
 
     def worth_resending(self, request: Pending, outcome: int, now: int) -> bool:
-        cls = self.classes[request.cls]
-        if request.attempts >= self.settings.max_attempts or self.budget < 1 or now >= request.expires:
+        cls = request.cls
+        if request.attempts >= request.tries or self.budget < 1 or now >= request.expires:
             return False
         repeatable = cls.effect == Effect.KEYED and now < request.ran_at + cls.window
         if request.ran is not None and cls.effect != Effect.SAFE and not repeatable:
@@ -686,12 +692,12 @@
         if outcome != Outcome.CONNECT_FAILED and self.pressure > self.over:
             return False  # never into overload
         useful = request.expires if cls.late_worth else min(request.arrived + cls.aim, request.expires)
-        return now + self.base[request.cls] < useful
+        return now + request.kind.base < useful
 
     def finish(self, request: Pending, now: int) -> None:
         """The final answer: declined where a repeat is harmless, else failed."""
         del self.pending[request.id]
-        cls = self.classes[request.cls]
+        cls = request.cls
         if request.ran is None or cls.effect == Effect.SAFE:
             # Once no answer can count, the advice is to stay away for the rest of the client's time.
             late = not cls.late_worth and now >= request.arrived + cls.aim
@@ -701,7 +707,7 @@
             self.out.append(api.Fail(request.id))
 
     def on_gone(self, now: int, event: api.Gone | api.StreamStarted) -> None:
-        """The client left, or a stream started: that is the client's, has no deadline and is never resent."""
+        """The client left, or a stream started: that has no deadline and is never resent."""
         self.pending.pop(event.id, None)
 
 
--- a/cranespindle/node/config.py
+++ b/cranespindle/node/config.py
@@ -20,6 +20,8 @@
 MEMORY_LEAST = 32  # megabytes: the least that a deployment gives
 OWN_SOCKETS = 16  # the listeners, the loop, discovery, the standard streams and the like
 BODIES_LEAST = 1_000_000  # below this nothing long passes at all
+# Keys of the settings that a deployment may leave out at any time.
+MAY_BE_ABSENT = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))
 _HEALTHS = {"up": api.Health.READY, "draining": api.Health.DRAINING, "removed": api.Health.GONE}
 
 
@@ -68,6 +70,15 @@
     connect_timeout: int
     idle_limit: int  # endpoints close connections that stood idle this long
     known: HostList
+    told: Mapping[str, Any]  # the file itself
+
+    def check_complete(self, before: Config) -> None:
+        """Raise ConfigError where this file lacks a key that the one in force has: it is cut short, or its
+        writer slipped. What is left out would else be taken for its default."""
+        missing = next((key for key in before.told if key not in self.told), None)
+        missing = missing or lacking(before.told["settings"], self.told["settings"], "settings.")
+        if missing is not None:
+            raise ConfigError(f"{missing} is missing")
 
     # How the descriptors are shared out. A successor lives beside this process for a time, within the same
     # limit: the clients' third serves both of them, as clients hold no more, and each gets half of the rest.
@@ -121,6 +132,9 @@
         idle_limit = int(wire.number(limits, "ConnIdleNs", 15 * SECOND, low=1))
     except wire.WireError as problem:
         raise ConfigError(str(problem)) from None
+    class_names = [c.name for c in settings.classes]
+    if "" in class_names or len(set(class_names)) < len(class_names):
+        raise ConfigError(f"settings: the class names are {class_names}, each has to be there once")
     names = Names(_positions(raw.get("Azs")), _positions(raw.get("Kinds")))
     try:
         known = host_list(top.get("known") or {"seq": 0, "whole": True, "hosts": []}, names)
@@ -146,9 +160,26 @@
         connect_timeout=connect_timeout,
         idle_limit=idle_limit,
         known=known,
+        told=top,
     )
 
 
+def lacking(before: Any, now: Any, path: str) -> str | None:
+    """The first key that was there and is not; in a list of objects, each has those of the first before."""
+    if isinstance(before, dict) and isinstance(now, dict):
+        for key, value in before.items():
+            if key in MAY_BE_ABSENT:
+                continue
+            if key not in now:
+                return f"{path}{key}"
+            if (missing := lacking(value, now[key], f"{path}{key}.")) is not None:
+                return missing
+    if isinstance(before, list) and before and isinstance(now, list):
+        missed = (lacking(before[0], entry, f"{path[:-1]}[{i}].") for i, entry in enumerate(now))
+        return next((missing for missing in missed if missing is not None), None)
+    return None
+
+
 def host_list(raw: Any, names: Names) -> HostList:
     """A list in discovery's form. Raises ValueError where it is malformed."""
     if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -30,19 +30,29 @@
 
 class Discovery:
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
-        self._address, self._names, self._host, self._loop = config.discovery, config.names, host, loop
-        self._pushed = not config.settings.discovery_on_request
-        self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
+        self._host, self._loop = host, loop
+        self._address = config.discovery
+        self._adopt(config)
         self._seq = config.known.seq
         self._connection: Connection | None = None
         self._watcher: asyncio.Task[None] | None = None
         self._fetcher: asyncio.Task[None] | None = None
         host.watch, host.fetch = self.watch, self.fetch
 
+    def _adopt(self, config: Config) -> None:
+        self._names = config.names
+        self._pushed = not config.settings.discovery_on_request
+        self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
+
     def start(self) -> None:
         if self._pushed:
             self.watch(True)
 
+    def retune(self, config: Config) -> None:
+        self._adopt(config)
+        self.move(config.discovery)
+        self.start()
+
     def watch(self, on: bool) -> None:
         if self._watcher is not None and not on:
             self._watcher.cancel()
@@ -52,6 +62,8 @@
 
     def move(self, address: Address) -> None:
         """Go on at another address. The old one hangs up soon, and need not answer until then."""
+        if address == self._address:
+            return
         log.info("discovery is now at %s:%d", *address)
         self._address = address
         if self._connection is not None:
--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -489,6 +489,8 @@
         elif exchange.answer is None:
             self._chunks.append(body)
             if self._size > WHOLE_MOST and self._incoming is not None:
+                if not self.frontend.knows(self._incoming.cls):
+                    self._fault(400, "Req-Kind is no longer known")
                 self._start_upload(exchange, self._incoming, None)
                 for piece in self._chunks:
                     exchange.upload.feed(piece)  # type: ignore[attr-defined]
@@ -513,6 +515,9 @@
         elif exchange.upload is not None:
             self.frontend.host.uploaded(exchange.id)
             exchange.upload.finish(True)
+        elif incoming is not None and not self.frontend.knows(incoming.cls):
+            self._give_room_back()
+            self._turn_away(exchange, BadRequest(400, "Req-Kind is no longer known"))
         elif incoming is not None:
             body, room = b"".join(self._chunks), self._room
             self._chunks.clear()
@@ -536,10 +541,16 @@
         self._drained = asyncio.Event()
         self._most = config.clients_most
         self._connections: dict[ClientConnection, None] = {}
-        self._classes = {c.name.encode(): i for i, c in enumerate(config.settings.classes)}
-        self._methods = [METHODS[c.effect] for c in config.settings.classes]
+        self.retune(config)
+
+    def retune(self, config: Config) -> None:
+        """Take up other settings, by which the heads to come are checked."""
+        self._classes = {c.name.encode(): c for c in config.settings.classes}
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
 
+    def knows(self, cls: str) -> bool:
+        return cls.encode() in self._classes
+
     def opened(self, connection: ClientConnection) -> None:
         if len(self._connections) >= self._most:
             # Descriptors run out: one that is idle makes room, or the oldest that never finishes its request.
@@ -577,7 +588,7 @@
             raise BadRequest(400, "Req-Kind is missing or unknown")
         if not told.get(b"req-id"):
             raise BadRequest(400, "Req-Id is missing")
-        expected, keyed = self._methods[cls]
+        expected, keyed = METHODS[cls.effect]
         if method != expected:
             raise BadRequest(405, "the method does not fit the class")
         if keyed and not told.get(b"idempotency-key"):
@@ -589,8 +600,7 @@
                 raise BadRequest(400, "Req-Owner is missing or unknown")
             tenant = owner
         return Incoming(
-            cls=cls,
-            name=told[b"req-kind"].decode(),
+            cls=cls.name,
             tenant=tenant,
             key=request_key(url),
             deadline=deadline(told.get(b"req-deadline")),
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -64,8 +64,7 @@
 class Incoming(NamedTuple):
     """A request as the client sent it, checked."""
 
-    cls: int
-    name: str  # of the class
+    cls: str
     tenant: int
     key: int
     deadline: int
@@ -81,15 +80,23 @@
     __slots__ = (
         "answered", "attempt", "attempts", "client", "coming", "deadline", "ended", "endpoint", "expires",
         "held", "id", "incoming", "last", "leaving", "patience", "room", "sent", "taken", "tally", "timeout",
-        "until", "upload",
+        "tries", "until", "upload",
     )  # fmt: skip
 
     def __init__(
-        self, rid: int, client: Client, incoming: Incoming, expires: int, room: int, upload: Stream | None
+        self,
+        rid: int,
+        client: Client,
+        incoming: Incoming,
+        expires: int,
+        tries: int,
+        room: int,
+        upload: Stream | None,
     ) -> None:
         self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
         self.room = self.held = room  # memory reserved at its head, and what of it is held now
         self.upload = upload
+        self.tries = tries  # as many as the settings allowed when it came
         self.coming = upload is not None  # its last byte has not come: its time does not run yet
         self.taken = False
         self.answered = self.ended = False
@@ -114,7 +121,6 @@
         self._balancer = Balancer(config.settings, config.seed)
         self.budget = Budget(config.bodies_most(own_memory()))
         self.telemetry = Telemetry()
-        self.telemetry.know(c.name for c in config.settings.classes)
         self.upstream = Upstream(config, loop, clock.now, self.count)
         self._open: dict[int, Open] = {}
         self._last_id = 0
@@ -127,6 +133,7 @@
             api.Watch: lambda a: self.watch(a.on), api.Fetch: lambda a: self.fetch(),
             api.Tell: lambda a: self.tell(a.peer, a.body),
         }  # fmt: skip
+        self._know_classes()
         # Set by the parts that do them.
         self.watch: Callable[[bool], None] = lambda on: None
         self.fetch: Callable[[], None] = lambda: None
@@ -143,6 +150,24 @@
         self.post(api.Attached())
         self.learn(known, api.ListKind.CACHED)
 
+    def _know_classes(self) -> None:
+        self._numbers = {c.name: number for number, c in enumerate(self._settings.classes)}
+        self.telemetry.know(self._numbers)
+
+    def retune(self, config: Config) -> None:
+        """Take up other settings, for the requests to come."""
+        self._settings = config.settings
+        self._know_classes()
+        self.upstream.retune(config)
+        self.post(api.Retuned(config.settings))
+
+    @property
+    def longest(self) -> float:
+        """The longest time, in seconds, that a request here may still take."""
+        now = self.now()
+        under_way = [request.expires - now for request in self._open.values()]
+        return max(*(cls.limit for cls in self._settings.classes), *under_way, 0) / SECOND
+
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
         self._told = self._told or kind != api.ListKind.CACHED
@@ -206,7 +231,10 @@
     def _stand(self) -> str:
         b = self._balancer
         ready, used = (sum(map(len, sides)) for sides in (b.order, b.subset))
-        base, mean = ("/".join(f"{t / MS:.0f}" for t in times) for times in (b.base, b.mean))
+        base, mean = (
+            "/".join(f"{t / MS:.0f}" for t in times)
+            for times in ([k.base for k in b.kinds], [k.mean for k in b.kinds])
+        )
         return (
             f"cut={b.cut:.0f}/{b.top} pressure={b.pressure:.2f}/{b.over:.2f} crossing={b.crossing:.2f} "
             f"flying={b.flying} peak={b.peak:.1f} ready={ready} used={used} budget={b.budget:.1f} "
@@ -225,14 +253,16 @@
         self._last_id += 1
         rid, now = self._last_id, self.now()
         expires = now + max(0, incoming.deadline - DEADLINE_MARGIN)
-        request = self._open[rid] = Open(rid, client, incoming, expires, room, upload)
+        request = self._open[rid] = Open(
+            rid, client, incoming, expires, self._settings.max_attempts, room, upload
+        )
         client.id = rid
         if upload is None:
             self._take(request)
         self.post(
             api.Request(
                 rid,
-                incoming.cls,
+                self._numbers[incoming.cls],
                 incoming.tenant,
                 incoming.key,
                 expires,
@@ -279,13 +309,13 @@
         self.telemetry.in_progress -= request.taken
         tally = self.telemetry.bad_gateway if broken else request.tally
         if tally is not None:
-            tally[request.incoming.name] += 1
+            tally[request.incoming.cls] += 1
         self._settle(request)
 
     def turn_down(self, incoming: Incoming) -> None:
         """Count a request refused for want of memory, which never came into the ledger."""
         self.count("no_room")
-        self.telemetry.dropped[incoming.name] += 1
+        self.telemetry.dropped[incoming.cls] += 1
 
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
@@ -328,7 +358,7 @@
             return
         spent = request.upload is not None and request.upload.started  # what was handed on is held no more
         late = not request.coming and now >= request.expires
-        if spent or late or request.attempts >= self._settings.max_attempts:
+        if spent or late or request.attempts >= request.tries:
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -402,15 +402,18 @@
         count: Callable[[str], None],
     ) -> None:
         self.loop, self._now, self._count = loop, now, count
+        self.retune(config)
+        self._most = config.upstream_most
+        self._open = 0
+        self._pools: dict[EndpointId, Pool] = {}
+        self._probes: set[Attempt] = set()
+
+    def retune(self, config: Config) -> None:
         self._idle_most = int(config.idle_limit * IDLE_SHARE)
         self._connect_timeout = config.connect_timeout / SECOND
         self._fields = config.settings.report_fields
         path = "/metrics/load" if config.reports else "/alive"
         self._probe = f"GET {path} HTTP/1.1\r\nHost: backend.local\r\n\r\n".encode()
-        self._most = config.upstream_most
-        self._open = 0
-        self._pools: dict[EndpointId, Pool] = {}
-        self._probes: set[Attempt] = set()
 
     # ---- the list
 
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -20,7 +20,7 @@
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 WAIT = 20.0  # a hang fails the test; no test passes or fails by a shorter time
 
-SETTINGS = {
+SETTINGS: dict[str, Any] = {
     "Azs": ["bangna"],
     "Kinds": ["new-4c"],
     "Categories": [
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -88,7 +88,7 @@
 def test_the_quickest_idle_member_is_found_among_many_bad_ones() -> None:
     """Each of many sidecars must meet a bad server to know it: one that does must not draw it by chance."""
     b = Bench(settings(), servers=8)
-    b.balancer.mean[0] = 100.0 * MS
+    b.balancer.kinds[0].mean = 100.0 * MS
     for member in b.balancer.members.values():
         member.heard, member.pace = b.now, 0.5 if member.id[0] <= 2 else 2.0
     for _ in range(20):
@@ -156,7 +156,8 @@
     for _ in range(1500):
         b.now = max(b.now, dead.out_until) + 1
         b.tick(0)
-        request = balance.Pending(api.Request(0, 0, 0, 0, b.now + SECOND, 0, False), b.now)
+        arrival = api.Request(0, 0, 0, 0, b.now + SECOND, 0, False)
+        request = balance.Pending(arrival, b.balancer.kinds[0], 1, b.now)
         request.sent = b.now
         b.balancer.learn(dead, api.Completed(0, 0, dead.id, api.Outcome.RESET, 1, False, ()), request, b.now)
     assert dead.ejections > 1100
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -165,7 +165,7 @@
                 b.answer(send, took=int(0.8 * aim))
         b.tick(0.25)
     assert b.balancer.cut > 0
-    assert b.balancer.base[0] < 0.3 * aim < b.balancer.mean[0]
+    assert b.balancer.kinds[0].base < 0.3 * aim < b.balancer.kinds[0].mean
 
 
 def test_a_zone_of_its_own_that_the_settings_lack_ends_nothing() -> None:
@@ -199,7 +199,7 @@
         b.tick(0.25)
     assert cold > 20
     assert abs(b.balancer.pressure) < 0.05 and b.balancer.cut == 0
-    assert b.balancer.mean[0] == pytest.approx(50 * MS, rel=0.1)
+    assert b.balancer.kinds[0].mean == pytest.approx(50 * MS, rel=0.1)
 
 
 def test_a_time_out_at_a_cold_server_counts_by_its_warmth() -> None:
