--- a/cranespindle/api.py
+++ b/cranespindle/api.py
@@ -95,6 +95,7 @@
     cross_price: float = 0.0  # per crossing attempt, as a share of the mean worth of a request
     handshake_price: float = 0.0
     connection_price: float = 0.0
+    probe_price: float = 0.0
     waste_price: float = 0.0
     worth_by_work: bool = False
     warm_keys: bool = False  # serving a key again soon takes an endpoint less work
--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -54,6 +54,7 @@
 WAITS, SEEN, SENT, DONE = range(4)  # places in the evidence of a zone
 KEY_MEMBERS = 2  # members that share a warm key: with one alone a popular key would swamp it
 ASK = 2  # members asked at once whether they are idle: the second choice brings most of the gain
+ASK_WORTH = 0.05  # share of all worth that asking brings: 0.02 to 0.11 where troubles last, else nothing
 ASK_TICKS = 3  # turns, beyond the way there and back, after which an idle member would have answered
 STILL_MOST = 2.2 * SECOND  # held unsent while a sidecar stands still, a request is lost: longer is unheard of
 ASK_STEPS = 4  # rounds of asking before one is sent blindly: a tenth of a second, short of any usual aim
@@ -171,7 +172,7 @@
         self.cut = 0.0 if at is None else moved[at] * USER_LEVELS + max(0.0, self.cut - at * USER_LEVELS)
         self.top, self.aim = len(ranks) * USER_LEVELS, sum(c.aim for c in classes) / len(classes)
         # Where sidecars share what they see, and so shed in time, asking costs more than it brings.
-        self.asks = settings.probes and not settings.peers
+        self.asks = settings.probes and not settings.peers and ASK * settings.probe_price < ASK_WORTH
         self.evidence = (self.evidence + [[0.0] * 4 for _ in range(settings.zones)])[: settings.zones]
         for member in self.members.values():
             member.zone = min(member.zone, settings.zones - 1)
--- a/cranespindle/wire.py
+++ b/cranespindle/wire.py
@@ -232,6 +232,7 @@
         cross_price=number(prices, "CrossZone", 0),
         handshake_price=number(prices, "Handshake", 0),
         connection_price=number(prices, "Connection", 0),
+        probe_price=number(prices, "Probe", 0),
         waste_price=number(prices, "Waste", 0),
         worth_by_work=top.get("WorthBy") == "work",
         warm_keys=bool(part(top, "Extra").get("WarmKeys")),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -541,3 +541,7 @@
     assert b.balancer.pressure > 0  # from here on it does wait
     [final] = b.give(api.Completed(1, 0, sent.endpoint, api.Outcome.TIMEOUT, SECOND, False, ()))
     assert isinstance(final, api.Refuse)
+
+
+def test_dear_probes_are_not_spent_on_asking() -> None:
+    assert asking(probe_price=0.01)[1] and not asking(probe_price=0.08)[1]
