Pass slow answers of unknown length on from half of their attempt's time on

Ruled out: busy engines (whole answers of the same size took 47 ms on average), answers with a length (2 of 109).

--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -30,6 +30,7 @@
 # A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
 # has told binds it from then on. Much later, and a replacement would not come in time.
 TOLD_WITHIN = 3 * SECOND
+HELD_SHARE = 0.5  # of an attempt's time: later, an answer of unknown length is not held to be tried again
 STATUS_EVERY = 1.0  # seconds between two status lines: cuts and queues turn within a few
 
 
@@ -79,8 +80,8 @@
 
     __slots__ = (
         "answered", "attempt", "attempts", "client", "coming", "deadline", "ended", "endpoint", "expires",
-        "held", "id", "incoming", "last", "leaving", "patience", "room", "sent", "taken", "tally", "timeout",
-        "tries", "until", "upload",
+        "haste", "held", "id", "incoming", "last", "leaving", "patience", "room", "sent", "taken", "tally",
+        "timeout", "tries", "until", "upload",
     )  # fmt: skip
 
     def __init__(
@@ -108,6 +109,7 @@
         self.last = -1  # the outcome of the last attempt
         self.deadline: asyncio.TimerHandle | None = None
         self.patience: asyncio.TimerHandle | None = None
+        self.haste: asyncio.TimerHandle | None = None
 
     def payload(self, now: Callable[[], int]) -> bytes:
         left = self.incoming.deadline if self.coming else max(0, self.until - now())
@@ -286,6 +288,7 @@
             return
         now, request.coming = self.now(), False
         request.sent, request.expires = now, now + max(0, request.incoming.deadline - DEADLINE_MARGIN)
+        request.until = request.expires
         self._take(request)
         if request.attempt is not None:
             self._wait(request, request.attempt)
@@ -376,12 +379,14 @@
         attempt.start()
 
     def _wait(self, request: Open, attempt: Attempt) -> None:
-        """Wait for this attempt no longer than was decided."""
+        """Wait for this attempt no longer than was decided; half of that for the whole of a short answer."""
         if request.timeout and request.sent + request.timeout < request.expires:
             request.until = request.sent + request.timeout
             request.patience = self._loop.call_later(
                 request.timeout / SECOND, attempt.abandon, Outcome.TIMEOUT
             )
+        left = (request.until - request.sent) / SECOND
+        request.haste = self._loop.call_later(left * HELD_SHARE, attempt.hasten)
 
     def _written(self) -> None:
         self.telemetry.upstream_tries += 1
@@ -394,9 +399,10 @@
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
         self.count(Outcome(outcome).name.lower())
-        if request.patience is not None:
-            request.patience.cancel()
-            request.patience = None
+        for timer in (request.patience, request.haste):
+            if timer is not None:
+                timer.cancel()
+        request.patience = request.haste = None
         if outcome == Outcome.OK and answer is not None and self._conclude(request.id) is not None:
             request.tally = self.telemetry.passed
             request.leaving = len(answer.body) if answer.rest is None else READ_MOST
@@ -406,6 +412,9 @@
         over = request.answered
         self._settle(request)
         took, report = self.now() - request.sent, self.upstream.report(answer)
+        if answer is not None and answer.rest is not None:
+            # Of a long one the time to its head: how long it was held here is no wait there.
+            took -= time.monotonic_ns() - answer.headed
         self._took += took * (outcome == Outcome.OK)
         self.post(api.Completed(request.id, number, request.endpoint, outcome, took, over, report))
 
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import select
+import time
 from collections.abc import Callable, Iterable
 from functools import partial
 from typing import NamedTuple, TypeAlias, cast
@@ -31,6 +32,7 @@
     headers: Headers
     body: bytes
     rest: Stream | None = None  # in place of the body of a long answer, which is still to come
+    headed: int = 0  # the monotonic time when the head of a long one came
 
     def header(self, name: bytes) -> bytes | None:
         return next((value for key, value in self.headers if key == name), None)
@@ -56,6 +58,7 @@
         self._rest: Stream | None = None  # that of a long answer
         self._answer: Answer | None = None
         self._ended = False  # the whole answer has come
+        self.eager = False  # what still comes of an answer of unknown length need not be held
         self._clogged = self._paused = False
         self.whole = False  # the last byte of the request has gone out
         self._stalled: asyncio.TimerHandle | None = None
@@ -98,7 +101,8 @@
         if transport is None or transport.is_closing():
             return False
         self._parser = httptools.HttpResponseParser(self)
-        self._answer, self._junk, self._ended = None, False, False
+        self._answer = None
+        self._junk = self._ended = self.eager = False
         self._begin_answer()
         try:
             sent = os.write(self._fd, data)
@@ -188,9 +192,13 @@
         if self._ended:
             # Bytes past the end of the answer make the connection unfit, not the answer.
             self._finish(self._answer, self._keep and not self._junk)
-        elif self._junk:
+            return
+        if self._junk:
             self._finish(UNREADABLE, False)
-        elif self._rest is not None:
+            return
+        if self.eager and self._rest is None and self._open_ended:
+            self._start_long(None)
+        if self._rest is not None:
             self._begin_long()
             self._watch_progress()
 
@@ -218,7 +226,7 @@
         """Whoever waits for the answer gets it as it begins."""
         done, self._done = self._done, None
         if done is not None:
-            done(Answer(self._status, self._headers, b"", self._rest))
+            done(Answer(self._status, self._headers, b"", self._rest, self._headed_at))
 
     def _finish(self, answer: Answer | None, keep: bool) -> None:
         """The answer is whole, or no more of it will come."""
@@ -241,7 +249,7 @@
 
     def _begin_answer(self) -> None:
         self._status = self._head_size = self._size = 0
-        self._headed = self._until_end = False
+        self._headed = self._until_end = self._open_ended = False
         self._headers: Headers = []
         self._chunks: list[bytes] = []
 
@@ -262,7 +270,9 @@
             return
         told = dict(self._headers)
         length = told.get(b"content-length")
-        self._until_end = length is None and b"transfer-encoding" not in told and self._status not in BODILESS
+        self._headed_at = time.monotonic_ns()
+        self._open_ended = length is None and self._status not in BODILESS
+        self._until_end = self._open_ended and b"transfer-encoding" not in told
         if length is not None and int(length) > WHOLE_MOST:
             self._start_long(int(length))
 
@@ -309,8 +319,8 @@
     """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_done", "_payload", "_pool", "_upload", "_upstream",
-        "_written",
+        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_pool", "_upload",
+        "_upstream", "_written",
     )  # fmt: skip
 
     def __init__(
@@ -327,6 +337,7 @@
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
+        self._eager = False
 
     def start(self) -> None:
         connection = self._upstream.take(self._pool)
@@ -337,6 +348,12 @@
         else:
             self._end(Outcome.CONNECT_FAILED, None)
 
+    def hasten(self) -> None:
+        """There is hardly time for another attempt: hold back no answer any more for the sake of one."""
+        self._eager = True
+        if self._connection is not None:
+            self._connection.eager = True
+
     def abandon(self, outcome: int) -> None:
         """Stop waiting: the connection closes before anything else happens for the request."""
         if self._connect is not None:
@@ -368,6 +385,8 @@
         free = partial(self._upstream.give, self._pool, connection)
         if not connection.send(self._payload(), self._answered, self._written, free, self._upload):
             self._end(Outcome.CONNECT_FAILED, None)
+        else:
+            connection.eager = self._eager
 
     def _answered(self, answer: Answer | None) -> None:
         if answer is None and self._connection is not None and not self._connection.whole:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -180,6 +180,68 @@
     run(test())
 
 
+@pytest.mark.parametrize("framing", [CHUNKED, b""])
+def test_a_slow_answer_of_unknown_length_goes_on_as_it_comes_from_half_of_its_time_on(framing: bytes) -> None:
+    def piece(body: bytes) -> bytes:
+        return b"%x\r\n%s\r\n" % (len(body), body) if framing else body
+
+    async def test() -> None:
+        half, heard = asyncio.Event(), asyncio.Event()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await head_of(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + piece(b"first"))
+            await half.wait()
+            writer.write(piece(b"second"))
+            await heard.wait()
+            writer.write(piece(b"last") + (b"0\r\n\r\n" if framing else b""))
+            await writer.drain()
+
+        async with raw(slow) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request(deadline="0.5"))
+            while not node.host._open:
+                await asyncio.sleep(0.01)
+            [ledger] = node.host._open.values()
+            assert ledger.attempt is not None
+            while not ledger.attempt._eager:
+                await asyncio.sleep(0.01)
+            half.set()
+            await head_of(client.reader)
+            begun = b"5\r\nfirst\r\n6\r\nsecond\r\n"
+            assert await client.reader.readexactly(len(begun)) == begun
+            heard.set()
+            assert await chunks_of(client.reader) == b"last"
+            await nothing_held(node)
+
+    run(test())
+
+
+def test_the_module_is_told_the_time_to_the_head_of_a_long_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with raw(_hang) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request())
+            while not node.host._open:
+                await asyncio.sleep(0.01)
+            [ledger] = node.host._open.values()
+            attempt, long = ledger.attempt, Stream(lambda on: None, None)
+            assert attempt is not None
+            with monkeypatch.context() as patch:
+                patch.setattr(node.host, "now", lambda: ledger.sent + 500_000_000)
+                patch.setattr("time.monotonic_ns", lambda: 10**12)
+                attempt._end(Outcome.OK, Answer(200, [], b"", long, 10**12 - 300_000_000))
+            event = await node.event(lambda e: isinstance(e, api.Completed))
+            assert event.took == 200_000_000
+            long.finish(True)
+
+    run(test())
+
+
+async def _hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.read()
+
+
 @pytest.mark.parametrize("version", [b"1.1", b"1.0"])
 @pytest.mark.parametrize("framing", [LENGTH, CHUNKED])
 def test_the_client_can_tell_a_long_answer_that_breaks_from_a_whole_one(
