--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -230,17 +230,22 @@
                 said, took, len(self._open), self.upstream.connections, self._stand(),
             )  # fmt: skip
 
+    def _is_cold(self, endpoint: api.EndpointId) -> bool:
+        member = self._balancer.members.get(endpoint)
+        return member is not None and self._balancer.warmth(member, self.now()) < 1
+
     def _stand(self) -> str:
         b = self._balancer
         ready, used = (sum(map(len, sides)) for sides in (b.order, b.subset))
+        cold = sum(self._is_cold(member.id) for side in b.order for member in side)
         base, mean = (
             "/".join(f"{t / MS:.0f}" for t in times)
             for times in ([k.base for k in b.kinds], [k.mean for k in b.kinds])
         )
         return (
             f"cut={b.cut:.0f}/{b.top} pressure={b.pressure:.2f}/{b.over:.2f} crossing={b.crossing:.2f} "
-            f"flying={b.flying} peak={b.peak:.1f} ready={ready} used={used} budget={b.budget:.1f} "
-            f"base_ms={base} mean_ms={mean}"
+            f"flying={b.flying} peak={b.peak:.1f} ready={ready} cold={cold} used={used} "
+            f"budget={b.budget:.1f} base_ms={base} mean_ms={mean}"
         )
 
     # ---- requests
@@ -366,6 +371,8 @@
             return
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
+        if self._is_cold(action.endpoint):
+            self.count("cold_sends")
         done = partial(self._completed, request, number)
         attempt = self.upstream.attempt(
             action.endpoint, partial(request.payload, self.now), done, self._written, request.upload
