Say nothing after the last answer of a connection; refuse other transfer codings

Tests: memory held by answers that a client does not read, found untested by a mutation; the end of an old caller's connection.

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -130,6 +130,7 @@
         self._chunked = False  # it leaves in chunks
         self._rest_over = True  # all of it has been written
         self._ended = False  # what still comes is thrown away
+        self._over = False  # the last answer has left
         self._clogged = False  # the client does not read its answers
         self._held = False  # nobody takes the body that is coming
         self._stopped = False  # reading is paused
@@ -306,7 +307,7 @@
 
     def flush(self) -> None:
         """Send the answers whose turn has come."""
-        while self._writing is None and self._exchanges and self._transport is not None:
+        while self._writing is None and self._exchanges and self._transport is not None and not self._over:
             exchange = self._exchanges[0]
             if (answer := exchange.answer) is None:
                 break
@@ -369,7 +370,7 @@
     def _end(self) -> None:
         """Nothing more is answered here. What the client still sends is read for a while, as the kernel would
         answer it with a reset that overtakes the answer."""
-        self._ended = True
+        self._ended = self._over = True
         self._in_time()
         if self._transport is None:
             return
@@ -424,7 +425,10 @@
         if self._parser.should_upgrade():  # what follows would not be HTTP
             self._fault(400, "upgrades are not served")
         told = {name.lower(): value for name, value in self._headers}
-        length = None if b"transfer-encoding" in told else int(told.get(b"content-length", b"0"))
+        coding = told.get(b"transfer-encoding")
+        if coding is not None and coding.lower() != b"chunked":  # which would be lost on the way
+            self._fault(400, "only chunks are known as a transfer coding")
+        length = None if coding is not None else int(told.get(b"content-length", b"0"))
         if length is not None and length > LONG_MOST:
             self._fault(413, HTTPStatus(413).phrase)
         waits = told.get(b"expect", b"").lower() == b"100-continue" and not old and length != 0
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -427,6 +427,30 @@
     run(test())
 
 
+def test_answers_that_a_client_does_not_read_hold_their_memory_until_it_leaves() -> None:
+    async def test() -> None:
+        async with endpoint(lambda seen: _big()) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            for _ in range(400):  # far more than the kernel takes
+                client.writer.write(request())
+            await asyncio.wait_for(client.writer.drain(), None)
+            while not any(c._clogged and len(c._exchanges) >= 16 for c in node.frontend._connections):
+                await asyncio.sleep(0.01)
+            while any(request.attempt is not None for request in node.host._open.values()):
+                await asyncio.sleep(0.01)
+            held = sum(request.held for request in node.host._open.values())
+            assert held == node.host.budget.used == WHOLE_MOST * len(node.host._open) > 0
+            client.writer.transport.abort()
+            await nothing_held(node)
+
+    run(test())
+
+
+async def _big() -> bytes:
+    return ok(b"x" * WHOLE_MOST)
+
+
 def test_the_memory_for_bodies_leaves_room_for_a_second_process() -> None:
     told = config.parse(configuration(limits={"memory_mb": 80}))
     own = 15_000_000
@@ -532,7 +556,7 @@
 
     def __init__(self) -> None:
         self.budget = Budget(10**8)
-        self.listed = self.informed = True
+        self.listed = self.informed = self.answers = True
         self.taken: list[tuple[bytes, bytes]] = []  # method and body of each
         self.gone_ids: list[int] = []
         self._ids = 0
@@ -557,7 +581,8 @@
 
     def _take(self, exchange: Exchange, incoming: Incoming, body: bytes) -> None:
         self.taken.append((incoming.head.split()[0], body))
-        exchange.serve(Answer(200, [], b"taken"))
+        if self.answers:
+            exchange.serve(Answer(200, [], b"taken"))
 
     def count(self, name: str) -> None: ...
 
@@ -648,6 +673,27 @@
     assert peer.wire.closed
 
 
+def test_a_transfer_coding_that_would_be_lost_on_the_way_gets_400() -> None:
+    peer = Peer()
+    peer.feed(posted(b"Transfer-Encoding: gzip, chunked\r\n") + chunked(SHORT))
+    assert peer.said.startswith(b"HTTP/1.1 400 ") and peer.ledger.taken == []
+
+
+def test_after_an_answer_that_ends_the_connection_nothing_more_is_said() -> None:
+    """An old caller is told the end of an answer of unknown length by the end of the connection alone."""
+    peer = Peer()
+    peer.ledger.answers = False
+    peer.feed(2 * request(extra=b"Connection: keep-alive\r\n").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    first, second = peer.connection._exchanges
+    second.serve(Answer(200, [], b"too late"))
+    rest = Stream(lambda on: None, None)
+    first.serve(Answer(200, [], b"", rest))
+    rest.feed(b"all")
+    rest.finish(True)
+    assert peer.said.endswith(b"\r\n\r\nall") and peer.said.count(b"HTTP/1.1 200") == 1
+    assert peer.wire.closed
+
+
 def test_a_body_beyond_the_most_gets_413_however_it_is_framed() -> None:
     peer = Peer()
     peer.feed(posted(b"Content-Length: %d\r\n" % (LONG_MOST + 1)))
