--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -169,7 +169,7 @@
     def _begin(self) -> None:
         self._url = b""
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()  # held, or on its way to the stream: one write for all that came at once
         self._head_size = self._size = 0  # with the trailers, and of the body
         self._error: BadRequest | None = None
         self._reading = self._headed = False
@@ -217,6 +217,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._ended:
                 self._reject(self._error or BadRequest(400, "malformed request"))
+        if self._exchange is not None:
+            self._pass_on(self._exchange)
         if self._reading and self._overdue is None and not self._ended:
             self._await_request()
         self._steer_reading()
@@ -466,6 +468,13 @@
         self.frontend.host.budget.give(self._room)
         self._room = 0
 
+    def _pass_on(self, exchange: Exchange) -> None:
+        if exchange.answer is not None:
+            self._body.clear()  # nobody wants the rest
+        elif exchange.upload is not None and self._body:
+            exchange.upload.feed(bytes(self._body))
+            self._body.clear()
+
     def _start_upload(self, exchange: Exchange, incoming: Incoming, length: int | None) -> None:
         """Take a long request, whose body goes on as it comes."""
         framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
@@ -488,17 +497,13 @@
             self._fault(413, HTTPStatus(413).phrase)
         exchange = self._exchange
         assert exchange is not None
-        if exchange.upload is not None:
-            exchange.upload.feed(body)
-        elif exchange.answer is None:
-            self._chunks.append(body)
-            if self._size > WHOLE_MOST and self._incoming is not None:
-                if not self.frontend.knows(self._incoming.cls):
-                    self._fault(400, "Req-Kind is no longer known")
-                self._start_upload(exchange, self._incoming, None)
-                for piece in self._chunks:
-                    exchange.upload.feed(piece)  # type: ignore[attr-defined]
-                self._chunks.clear()
+        if exchange.answer is not None:
+            return
+        self._body += body
+        if exchange.upload is None and self._size > WHOLE_MOST and self._incoming is not None:
+            if not self.frontend.knows(self._incoming.cls):
+                self._fault(400, "Req-Kind is no longer known")
+            self._start_upload(exchange, self._incoming, None)
 
     def _grow_head(self, size: int, status: int) -> None:
         self._head_size += size
@@ -512,19 +517,20 @@
 
     def on_message_complete(self) -> None:
         exchange, incoming = self._exchange, self._incoming
+        self._exchange = None  # what cannot be read from here on is no part of it
         self._reading = self._headed = self._held = False
         self._in_time()
         if self._ended or exchange is None or exchange.answer is not None:
             self._give_room_back()
         elif exchange.upload is not None:
             self.frontend.host.uploaded(exchange.id)
+            self._pass_on(exchange)
             exchange.upload.finish(True)
         elif incoming is not None and not self.frontend.knows(incoming.cls):
             self._give_room_back()
             self._turn_away(exchange, BadRequest(400, "Req-Kind is no longer known"))
         elif incoming is not None:
-            body, room = b"".join(self._chunks), self._room
-            self._chunks.clear()
+            body, room = bytes(self._body), self._room
             self._room = 0
             if body or self._parser.get_method() == b"POST":
                 incoming = incoming._replace(head=incoming.head + b"Content-Length: %d\r\n" % len(body))
--- a/cranespindle/node/stream.py
+++ b/cranespindle/node/stream.py
@@ -57,7 +57,7 @@
     ) -> None:
         self._pause, self._unwanted = pause, unwanted
         self.length = length  # None where only the end will tell it
-        self._held: list[bytes] = []
+        self._held = bytearray()  # not pieces, which can be of a byte each
         self._end: bool | None = None  # whether what ended is whole
         self._sink: Sink | None = None
         self._dropped = False
@@ -68,7 +68,7 @@
             self.started = True
             self._sink.body(piece)
         elif not self._dropped:
-            self._held.append(piece)
+            self._held += piece
             self._pause(True)
 
     def finish(self, whole: bool) -> None:
@@ -81,10 +81,10 @@
         """Hand on what is held and what comes from now on."""
         self._sink = sink
         self.started = self.started or bool(self._held)
-        held, self._held = self._held, []
+        held, self._held = bytes(self._held), bytearray()
         self._pause(False)
-        for piece in held:
-            sink.body(piece)
+        if held:
+            sink.body(held)
         if self._end is not None:
             sink.body_end(self._end)
 
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -199,9 +199,15 @@
         if self.eager and self._rest is None and self._open_ended:
             self._start_long(None)
         if self._rest is not None:
+            self._pass_on(self._rest)
             self._begin_long()
             self._watch_progress()
 
+    def _pass_on(self, rest: Stream) -> None:
+        if self._body:
+            rest.feed(bytes(self._body))
+            self._body.clear()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         under_way = self._done is not None or self._rest is not None
@@ -234,6 +240,7 @@
             self._transport.abort()
         self._let_go()
         if self._rest is not None:
+            self._pass_on(self._rest)
             self._begin_long()
         rest, self._rest = self._rest, None
         done, self._done = self._done, None
@@ -251,7 +258,7 @@
         self._status = self._head_size = self._size = 0
         self._headed = self._until_end = self._open_ended = False
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()  # held, or on its way to the stream: one write for all that came at once
 
     def on_message_begin(self) -> None:
         if self._ended:
@@ -277,12 +284,9 @@
             self._start_long(int(length))
 
     def on_body(self, body: bytes) -> None:
-        if self._rest is not None:
-            self._rest.feed(body)
-            return
-        self._chunks.append(body)
+        self._body += body
         self._size += len(body)
-        if self._size > self.body_most:
+        if self._rest is None and self._size > self.body_most:
             self._start_long(None)
 
     def _start_long(self, length: int | None) -> None:
@@ -291,16 +295,13 @@
                 raise ValueError("answer too long")
             return
         self._rest = Stream(self._hold, length, self.close)
-        for piece in self._chunks:
-            self._rest.feed(piece)
-        self._chunks.clear()
 
     def on_message_complete(self) -> None:
         if self._status < 200:  # an interim answer: the real one follows
             self._begin_answer()
         elif not self._ended:
             self._ended = True
-            self._answer = Answer(self._status, self._headers, b"".join(self._chunks))
+            self._answer = Answer(self._status, self._headers, bytes(self._body))
             # Asked after this callback, the parser has forgotten the length and always says no.
             self._keep = self._parser.should_keep_alive()
 
