Let a stopped process pass long answers on to their end

Refusing requests that are not whole when it stops accepting was tried and dropped. A connection whose long answer began before the drain is closed after it, as its head could not say so.

--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import ctypes
 import gc
 import logging
@@ -58,9 +57,9 @@
     await asyncio.sleep(ACCEPT_ON)
     server.close()
     frontend.close_idle()
-    # Whoever never finishes sending its request is not waited for.
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(frontend.finished(), host.longest)
+    # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
+    # answer are given up by the rules for them, so this ends.
+    await frontend.finished()
 
 
 def shared_listener(address: Address) -> socket.socket:
--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -366,7 +366,8 @@
         """The first answer has left."""
         exchange, self._writing = self._exchanges.popleft(), None
         self.frontend.host.ended(exchange.id)
-        if exchange.last:
+        # The head of a long answer may have left before the drain began, without telling of the end.
+        if exchange.last or (self.frontend.draining and self.left):
             self._end()
 
     def _end(self) -> None:
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -163,13 +163,6 @@
         self.upstream.retune(config)
         self.post(api.Retuned(config.settings))
 
-    @property
-    def longest(self) -> float:
-        """The longest time, in seconds, that a request here may still take."""
-        now = self.now()
-        under_way = [request.expires - now for request in self._open.values()]
-        return max(*(cls.limit for cls in self._settings.classes), *under_way, 0) / SECOND
-
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
         self._told = self._told or kind != api.ListKind.CACHED
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,19 @@
 
 import pytest
 
-from tests.sidecar import Client, Seen, always_ok, configuration, dead_dial, endpoint, never, ok, request, run
+from tests.sidecar import (
+    SETTINGS,
+    Client,
+    Seen,
+    always_ok,
+    configuration,
+    dead_dial,
+    endpoint,
+    never,
+    ok,
+    request,
+    run,
+)
 
 COMMAND = (sys.executable, "-m", "cranespindle")
 ROOT = Path(__file__).parent.parent
@@ -72,6 +84,47 @@
     run(test())
 
 
+def test_a_stopped_sidecar_passes_a_long_answer_on_to_its_end(tmp_path: Path) -> None:
+    """However long after the deadlines: an end by a time limit would cut it off."""
+    size = 300_000
+
+    async def test() -> None:
+        half, go_on = asyncio.Event(), asyncio.Event()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * (size // 2))
+            await writer.drain()
+            half.set()
+            await go_on.wait()
+            writer.write(b"x" * (size // 2))
+            await writer.drain()
+
+        engine = await asyncio.start_server(slow, "127.0.0.1", 0)
+        dial = f"127.0.0.1:{engine.sockets[0].getsockname()[1]}"
+        listen, file = dead_dial(), tmp_path / "config.json"
+        brief = [c | {"AimNs": 50_000_000, "HardLimitNs": 100_000_000} for c in SETTINGS["Categories"]]
+        told = configuration(dial, listen=listen, settings=SETTINGS | {"Categories": brief})
+        file.write_text(json.dumps(told))
+        process = await asyncio.create_subprocess_exec(
+            *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
+        )
+        client, idle = await connected(listen), await connected(listen)
+        assert (await idle.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+        client.writer.write(request())
+        await half.wait()
+        process.terminate()
+        assert await idle.ended()  # it accepts no more
+        with pytest.raises(asyncio.TimeoutError):  # far beyond the longest deadline
+            await asyncio.wait_for(process.wait(), 1.0)
+        go_on.set()
+        assert len((await client.answer())[2]) == size
+        assert await process.wait() == 0
+        engine.close()
+
+    run(test())
+
+
 async def ready(mgmt: str) -> bool:
     """Whether a process, which may still be starting, says that it is ready."""
     caller = await connected(mgmt)
