--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -54,12 +54,14 @@
     # Answers close their connections from here on, so that clients leave as they are served.
     frontend.draining = True
     steer_to_successor(listener)
+    log.info("draining: %d requests are in progress", host.telemetry.in_progress)
     await asyncio.sleep(ACCEPT_ON)
     server.close()
     frontend.close_idle()
     # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
     # answer are given up by the rules for them, so this ends.
     await frontend.finished()
+    log.info("drained")
 
 
 def shared_listener(address: Address) -> socket.socket:
