--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -314,13 +314,18 @@
             if (answer := exchange.answer) is None:
                 break
             self._writing = exchange
-            # A stopping sidecar ends the connection, but not before what was taken on it is answered.
             endless = exchange.old and answer.rest is not None and answer.rest.length is None
-            exchange.last |= endless or (self.frontend.draining and len(self._exchanges) == 1)
+            exchange.last |= endless or (self.frontend.draining and self._nothing_after(exchange))
             self._write(exchange, answer)
         self._say_continue()
         self._steer_reading()
 
+    def _nothing_after(self, exchange: Exchange) -> bool:
+        """Whether no further request has come, or begun to. A stopping sidecar ends the connection, but not
+        before what was taken on it is answered."""
+        begun = self._reading and self._exchange is not exchange
+        return len(self._exchanges) == 1 and not begun and not self._unread()
+
     def _write(self, exchange: Exchange, answer: Answer) -> None:
         assert self._transport is not None
         length = len(answer.body) if answer.rest is None else answer.rest.length
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -700,6 +700,22 @@
     assert peer.wire.closed
 
 
+def test_a_stopping_sidecar_answers_a_request_that_had_begun_to_come_before_it_closes() -> None:
+    peer = Peer()
+    peer.ledger.answers = False
+    peer.feed(request() + request()[:40])
+    peer.connection.frontend.draining = True
+    peer.connection._exchanges[0].serve(Answer(200, [], b"first"))
+    assert b"Connection: close" not in peer.said and not peer.wire.closed
+    peer.feed(request()[40:])
+    peer.wire.other_end.send(request())  # a third lies in the kernel
+    peer.connection._exchanges[0].serve(Answer(200, [], b"second"))
+    assert b"Connection: close" not in peer.said and not peer.wire.closed
+    peer.feed(peer.wire.socket.recv(10_000))
+    peer.connection._exchanges[0].serve(Answer(200, [], b"third"))
+    assert peer.said.count(b"Connection: close") == 1 and peer.wire.closed
+
+
 @pytest.mark.parametrize("closing", [b"", b"Connection: close\r\n"])
 def test_nonsense_after_a_proper_request_does_not_answer_for_it(closing: bytes) -> None:
     peer = Peer()
