The package is named sprucenotch, as the product is

Cause: the package kept the name it was inherited with, so nothing an operator types matched the product.

--- a/cranespindle/node/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real sidecar: cranespindle's decisions on sockets."""
--- a/cranespindle/__main__.py
+++ b/sprucenotch/__main__.py
@@ -14,12 +14,12 @@
 
 import uvloop
 
-from cranespindle.node.config import Address, Config, ConfigError, load
-from cranespindle.node.discovery import Discovery
-from cranespindle.node.frontend import ClientConnection, Frontend
-from cranespindle.node.host import Clock, Host
-from cranespindle.node.management import Management
-from cranespindle.node.peers import Peers
+from sprucenotch.node.config import Address, Config, ConfigError, load
+from sprucenotch.node.discovery import Discovery
+from sprucenotch.node.frontend import ClientConnection, Frontend
+from sprucenotch.node.host import Clock, Host
+from sprucenotch.node.management import Management
+from sprucenotch.node.peers import Peers
 
 ACCEPT_ON = 0.6  # after SIGTERM new connections come for 0.2 to 0.4 s more
 BACKLOG = 512
@@ -114,13 +114,13 @@
     try:
         config = load(os.environ)
     except ConfigError as problem:
-        print(f"cranespindle: {problem}", file=sys.stderr)
+        print(f"sprucenotch: {problem}", file=sys.stderr)
         return 2
     gc.freeze()  # what is loaded by now stays: the collector need not go over it again
     try:
         uvloop.run(serve(config))
     except OSError as problem:
-        print(f"cranespindle: {problem}", file=sys.stderr)
+        print(f"sprucenotch: {problem}", file=sys.stderr)
         return 1
     return 0
 
--- a/cranespindle/balance.py
+++ b/sprucenotch/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of cranespindle. Its interface (settings, events, actions) is cranespindle/api.py.
+"""Every decision of sprucenotch. Its interface (settings, events, actions) is sprucenotch/api.py.
 
 The ordinary path of a request: the admission cut over (business, user) levels refuses it unsent or lets it
 pass; a passed request goes to an idle member of a small subset. All times are nanoseconds.
@@ -11,8 +11,8 @@
 from math import log
 from struct import Struct, pack, unpack_from
 
-from cranespindle import api
-from cranespindle.api import Effect, Health, ListKind, Outcome, Scope
+from sprucenotch import api
+from sprucenotch.api import Effect, Health, ListKind, Outcome, Scope
 
 SECOND, HOUR = 1_000_000_000, 3600 * 1_000_000_000
 USER_LEVELS = 128  # from the write-up
--- /dev/null
+++ b/sprucenotch/node/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: sprucenotch's decisions on sockets."""
--- a/cranespindle/node/config.py
+++ b/sprucenotch/node/config.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any, TypeAlias
 
-from cranespindle import api, wire
+from sprucenotch import api, wire
 
 Address: TypeAlias = tuple[str, int]
 
--- a/cranespindle/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -6,10 +6,10 @@
 import json
 import logging
 
-from cranespindle import api
-from cranespindle.node.config import Address, Config, HostList, host_list
-from cranespindle.node.host import Host
-from cranespindle.node.upstream import Answer, Connection
+from sprucenotch import api
+from sprucenotch.node.config import Address, Config, HostList, host_list
+from sprucenotch.node.host import Host
+from sprucenotch.node.upstream import Answer, Connection
 
 log = logging.getLogger(__name__)
 
--- a/cranespindle/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -14,10 +14,10 @@
 
 import httptools
 
-from cranespindle import api
-from cranespindle.node.config import SECOND, Config
-from cranespindle.node.host import Host, Incoming
-from cranespindle.node.stream import (
+from sprucenotch import api
+from sprucenotch.node.config import SECOND, Config
+from sprucenotch.node.host import Host, Incoming
+from sprucenotch.node.stream import (
     ANSWER_ROOM,
     LAST_CHUNK,
     LONG_MOST,
@@ -28,7 +28,7 @@
     Stream,
     chunk,
 )
-from cranespindle.node.upstream import BLANKS, HEAD_MOST, Answer, Headers
+from sprucenotch.node.upstream import BLANKS, HEAD_MOST, Answer, Headers
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 # A client may take 2 s for a head and send its body at 64 kB a second; a peer that sends no whole request is
--- a/cranespindle/node/host.py
+++ b/sprucenotch/node/host.py
@@ -15,13 +15,13 @@
 from pathlib import Path
 from typing import Any, NamedTuple, Protocol
 
-from cranespindle import api
-from cranespindle.api import Outcome
-from cranespindle.balance import Balancer, Member
-from cranespindle.node.config import SECOND, Config, HostList
-from cranespindle.node.stream import READ_MOST, Budget, Stream
-from cranespindle.node.telemetry import Telemetry
-from cranespindle.node.upstream import Answer, Attempt, Upstream
+from sprucenotch import api
+from sprucenotch.api import Outcome
+from sprucenotch.balance import Balancer, Member
+from sprucenotch.node.config import SECOND, Config, HostList
+from sprucenotch.node.stream import READ_MOST, Budget, Stream
+from sprucenotch.node.telemetry import Telemetry
+from sprucenotch.node.upstream import Answer, Attempt, Upstream
 
 log = logging.getLogger(__name__)
 
--- a/cranespindle/node/management.py
+++ b/sprucenotch/node/management.py
@@ -9,8 +9,8 @@
 
 import httptools
 
-from cranespindle.node.config import Address
-from cranespindle.node.frontend import reply
+from sprucenotch.node.config import Address
+from sprucenotch.node.frontend import reply
 
 CALL_WITHIN = 2.0  # a caller waits for a second; one that has finished no call by now is closed
 HEAD_MOST = 8 * 1024
--- a/cranespindle/node/peers.py
+++ b/sprucenotch/node/peers.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import cast
 
-from cranespindle import api
-from cranespindle.node.config import Config
-from cranespindle.node.host import Host
+from sprucenotch import api
+from sprucenotch.node.config import Config
+from sprucenotch.node.host import Host
 
 MESSAGE_MOST = 256
 
--- a/cranespindle/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -12,9 +12,9 @@
 
 import httptools
 
-from cranespindle.api import EndpointId, Health, Outcome
-from cranespindle.node.config import SECOND, Address, Config, Host
-from cranespindle.node.stream import LAST_CHUNK, READ_BUFFER, STALLED, WHOLE_MOST, Stream, chunk, nothing
+from sprucenotch.api import EndpointId, Health, Outcome
+from sprucenotch.node.config import SECOND, Address, Config, Host
+from sprucenotch.node.stream import LAST_CHUNK, READ_BUFFER, STALLED, WHOLE_MOST, Stream, chunk, nothing
 
 HEAD_MOST = 32 * 1024
 BLANKS = b" \t"  # around the value of a header, and no part of it
--- a/cranespindle/simhost.py
+++ b/sprucenotch/simhost.py
@@ -5,8 +5,8 @@
 import sys
 from typing import BinaryIO
 
-from cranespindle import api, wire
-from cranespindle.balance import Balancer
+from sprucenotch import api, wire
+from sprucenotch.balance import Balancer
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
--- a/cranespindle/wire.py
+++ b/sprucenotch/wire.py
@@ -7,7 +7,7 @@
 from struct import Struct, error
 from typing import Any
 
-from cranespindle import api
+from sprucenotch import api
 
 BATCH, REPLY = Struct("<IQI"), Struct("<II")
 _U16, _U32, _U64 = Struct("<H"), Struct("<I"), Struct("<Q")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from cranespindle import api
-from cranespindle.balance import Balancer
+from sprucenotch import api
+from sprucenotch.balance import Balancer
 
 MS, SECOND = 1_000_000, 1_000_000_000
 START = 50 * SECOND
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -11,11 +11,11 @@
 
 import uvloop
 
-from cranespindle import api
-from cranespindle.node import config
-from cranespindle.node.discovery import Discovery
-from cranespindle.node.frontend import ClientConnection, Frontend
-from cranespindle.node.host import Clock, Host
+from sprucenotch import api
+from sprucenotch.node import config
+from sprucenotch.node.discovery import Discovery
+from sprucenotch.node.frontend import ClientConnection, Frontend
+from sprucenotch.node.host import Clock, Host
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 WAIT = 20.0  # a hang fails the test; no test passes or fails by a shorter time
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cranespindle import api, balance
+from sprucenotch import api, balance
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranespindle import api, balance
+from sprucenotch import api, balance
 from tests.helpers import MS, SECOND, Bench, endpoint, request_class, settings
 
 LOW, HIGH = request_class(worth=1.0), request_class(worth=5.0)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from cranespindle import api
-from cranespindle.node import config
-from cranespindle.node.config import ConfigError
-from cranespindle.node.management import Management
+from sprucenotch import api
+from sprucenotch.node import config
+from sprucenotch.node.config import ConfigError
+from sprucenotch.node.management import Management
 from tests.sidecar import (
     SETTINGS,
     Seen,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,13 +12,13 @@
 import httptools
 import pytest
 
-from cranespindle import api
-from cranespindle.api import Outcome
-from cranespindle.node import config
-from cranespindle.node.config import SECOND
-from cranespindle.node.frontend import PIPELINE_MOST
-from cranespindle.node.peers import Peers
-from cranespindle.node.upstream import SURPLUS_IDLE, Connection, Upstream, parse_report
+from sprucenotch import api
+from sprucenotch.api import Outcome
+from sprucenotch.node import config
+from sprucenotch.node.config import SECOND
+from sprucenotch.node.frontend import PIPELINE_MOST
+from sprucenotch.node.peers import Peers
+from sprucenotch.node.upstream import SURPLUS_IDLE, Connection, Upstream, parse_report
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -546,7 +546,7 @@
 def test_what_the_fleet_pays_for_together_is_counted_for_the_status_line(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("cranespindle.node.host.STATUS_EVERY", 3600.0)  # no line takes the counts meanwhile
+    monkeypatch.setattr("sprucenotch.node.host.STATUS_EVERY", 3600.0)  # no line takes the counts meanwhile
 
     async def failing(seen: Seen) -> bytes:
         return status(503)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -27,7 +27,7 @@
     run,
 )
 
-COMMAND = (sys.executable, "-m", "cranespindle")
+COMMAND = (sys.executable, "-m", "sprucenotch")
 ROOT = Path(__file__).parent.parent
 
 
@@ -247,5 +247,5 @@
         COMMAND, env=environment, cwd=ROOT, capture_output=True, text=True, check=False, timeout=60
     )
     assert done.returncode != 0 and done.stdout == ""
-    assert done.stderr.count("\n") == 1 and done.stderr.startswith("cranespindle: ")
+    assert done.stderr.count("\n") == 1 and done.stderr.startswith("sprucenotch: ")
     return done.stderr
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,9 +10,9 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from cranespindle import api
-from cranespindle.api import NEVER_RAN, Effect, Health, Outcome, Scope
-from cranespindle.balance import Balancer
+from sprucenotch import api
+from sprucenotch.api import NEVER_RAN, Effect, Health, Outcome, Scope
+from sprucenotch.balance import Balancer
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 GRACE = SECOND // 2
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -13,10 +13,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranespindle import api
-from cranespindle.api import Outcome
-from cranespindle.node import config
-from cranespindle.node.frontend import (
+from sprucenotch import api
+from sprucenotch.api import Outcome
+from sprucenotch.node import config
+from sprucenotch.node.frontend import (
     HEAD_WITHIN,
     JUDGED_FROM,
     RATE_LEAST,
@@ -25,8 +25,8 @@
     Exchange,
     Frontend,
 )
-from cranespindle.node.host import Incoming
-from cranespindle.node.stream import (
+from sprucenotch.node.host import Incoming
+from sprucenotch.node.stream import (
     ANSWER_ROOM,
     LONG_MOST,
     READ_BUFFER,
@@ -35,7 +35,7 @@
     Budget,
     Stream,
 )
-from cranespindle.node.upstream import Answer
+from sprucenotch.node.upstream import Answer
 from tests.sidecar import Sidecar, configuration, dead_dial, endpoint, ok, request, run, sidecar, status
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
