--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 from typing import Any, TypeAlias
 
-from sprucenotch import api, wire
+from sprucenotch import api
+from sprucenotch.sim import wire
 
 Address: TypeAlias = tuple[str, int]
 
--- /dev/null
+++ b/sprucenotch/sim/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter for the simulator: the same decisions on its wire."""
--- a/sprucenotch/simhost.py
+++ b/sprucenotch/sim/host.py
@@ -5,8 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from sprucenotch import api, wire
+from sprucenotch import api
 from sprucenotch.balance import Balancer
+from sprucenotch.sim import wire
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from sprucenotch import api, simhost, wire
+from sprucenotch import api
+from sprucenotch.sim import host as simhost
+from sprucenotch.sim import wire
 
 SAMPLE_BATCH = bytes.fromhex(
     "50000000 90bf68f501000000 03000000"
@@ -151,7 +153,7 @@
 )
 def test_a_malformed_frame_ends_the_host_with_one_plain_line(raw: bytes) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "sprucenotch.simhost"], input=raw, capture_output=True, check=False
+        [sys.executable, "-m", "sprucenotch.sim.host"], input=raw, capture_output=True, check=False
     )
     assert run.returncode == 2 and run.stdout == b""
     assert (
