--- /dev/null
+++ b/sprucenotch/rig/http.py
@@ -0,0 +1,109 @@
+"""A small HTTP/1.1 server for the stand-ins: one request at a time on a connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias, cast
+
+import httptools
+
+HOST = "127.0.0.1"
+PHRASES = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 500: b"Internal Server Error",
+           503: b"Service Unavailable"}  # fmt: skip
+
+
+class Call(NamedTuple):
+    """A request that has come whole."""
+
+    method: bytes
+    path: bytes  # without its query
+    query: bytes
+    headers: dict[bytes, bytes]  # names in lower case
+    body: bytes
+
+
+Answer: TypeAlias = Callable[[bytes], None]
+Handler: TypeAlias = Callable[[Call, Answer], None]
+
+
+def response(status: int, body: bytes = b"", *headers: bytes) -> bytes:
+    lines = (b"HTTP/1.1 %d %s" % (status, PHRASES[status]), *headers, b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self, handler: Handler, opened: Callable[[Connection, bool], None]) -> None:
+        self._handler, self._opened = handler, opened
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._opened(self, True)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._opened(self, False)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.answer(response(400))
+            self.abort()
+
+    def answer(self, raw: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(raw)
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    # ---- httptools' callbacks
+
+    def on_message_begin(self) -> None:
+        self._url, self._body = b"", b""
+        self._headers: dict[bytes, bytes] = {}
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.lower()] = value
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        path, _, query = self._url.partition(b"?")
+        self._handler(Call(self._parser.get_method(), path, query, self._headers, self._body), self.answer)
+
+
+class Server:
+    """Listens on a loopback port of the kernel's choosing; `stop` resets what is open, as a death does."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._connections: set[Connection] = set()
+        self._server: asyncio.Server | None = None
+        self.dial = ""  # "127.0.0.1:PORT" once started, and kept from then on
+
+    async def start(self) -> None:
+        """Listen; after a `stop` at the same address. Raises OSError if that was taken meanwhile."""
+        port = int(self.dial.rpartition(":")[2] or 0)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: Connection(self._handler, self._opened), HOST, port
+        )
+        self.dial = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    def _opened(self, connection: Connection, on: bool) -> None:
+        (self._connections.add if on else self._connections.discard)(connection)
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in tuple(self._connections):
+            connection.abort()
