One settings.py, typed by msgspec, serves node and adapter; all errors at once

Cause: the node decoded its file to a dict, dumped the settings and had the simulator's codec parse them again, and told only the first thing wrong in them, by key without its path. Change: settings.py mirrors the platform's JSON as frozen msgspec structs and gives the decisions theirs; every problem is named with path, value and what is allowed, in one line. json, pathlib and ctypes are no longer imported by the sidecar. Option not taken: pydantic, whose import alone is several times the memory that may be added.

--- a/sprucenotch/__main__.py
+++ b/sprucenotch/__main__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
-import ctypes
 import gc
 import logging
 import os
@@ -84,8 +84,8 @@
     this process is the first and the kernel, finding no second, goes on giving it all. The program stays
     with the address: a later successor gets the new connections as soon as it listens, and can serve them.
     """
-    code = ctypes.create_string_buffer(RETURN_1)
-    program = struct.pack("HxxxxxxP", 1, ctypes.addressof(code))
+    code = array.array("B", RETURN_1)
+    program = struct.pack("HxxxxxxP", 1, code.buffer_info()[0])
     try:
         listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
     except OSError as problem:  # then both go on sharing them until this one's listener closes
--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import json
 import math
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
-from pathlib import Path
 from typing import Any, TypeAlias
 
-from sprucenotch import api
-from sprucenotch.sim import wire
+import msgspec
+
+from sprucenotch import api, settings
 
 Address: TypeAlias = tuple[str, int]
 
@@ -109,55 +108,59 @@
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
     try:
-        top = json.loads(Path(path).read_bytes())
+        with open(path, "rb") as file:
+            top = msgspec.json.decode(file.read())
     except OSError as problem:
         raise ConfigError(f"PROXY_CONFIG: {problem.strerror}: {path}") from None
-    except ValueError as problem:
+    except (msgspec.DecodeError, RecursionError) as problem:
         raise ConfigError(f"PROXY_CONFIG is not JSON: {problem}") from None
     if not isinstance(top, dict):
         raise ConfigError("PROXY_CONFIG is not an object")
-    # The single variables stand in for what the file leaves out.
-    for key in ("name", "listen", "discovery", "mgmt"):
-        top.setdefault(key, environ.get(f"PROXY_{key.upper()}"))
+    stand_in(top, environ)
     return parse(top)
 
 
+def stand_in(top: dict[str, Any], environ: Mapping[str, str]) -> None:
+    """The single variables stand in for what the file leaves out."""
+    for key in ("name", "listen", "discovery", "mgmt"):
+        if (told := environ.get(f"PROXY_{key.upper()}")) is not None:
+            top.setdefault(key, told)
+
+
 def parse(top: dict[str, Any]) -> Config:
-    raw = top.get("settings")
-    if not isinstance(raw, dict):
-        raise ConfigError("settings are missing")
+    """A file in the platform's form, decoded. Raises ConfigError that names all that is wrong in it."""
+    # Limits that make no sense are as good as none: the least holds. Peers may be none in any way.
+    limits = top.get("limits")
+    read = top | {"limits": limits if isinstance(limits, dict) else {}}
+    read |= {key: top.get(key) or None for key in ("peer_listen", "peers", "peers_all")}
     try:
-        settings = wire.settings(json.dumps(raw).encode())
-        limits = wire.part(raw, "Limits")
-        connect_timeout = int(wire.number(limits, "ConnectTimeoutNs", SECOND / 4, low=1))
-        idle_limit = int(wire.number(limits, "ConnIdleNs", 15 * SECOND, low=1))
-    except wire.WireError as problem:
+        told = settings.typed(read, settings.File, "")
+        decisions = settings.read(top["settings"]).decisions()
+        connect_timeout = settings.judge(told.settings.limits, "connect_timeout_ns", settings.Time)
+        idle_limit = settings.judge(told.settings.limits, "conn_idle_ns", settings.Time)
+        names = Names(_positions(told.settings.azs), _positions(told.settings.kinds))
+        known = host_list(told.known or {"seq": 0, "whole": True, "hosts": []}, names)
+    except settings.SettingsError as problem:
         raise ConfigError(str(problem)) from None
-    class_names = [c.name for c in settings.classes]
-    if "" in class_names or len(set(class_names)) < len(class_names):
-        raise ConfigError(f"settings: the class names are {class_names}, each has to be there once")
-    names = Names(_positions(raw.get("Azs")), _positions(raw.get("Kinds")))
-    try:
-        known = host_list(top.get("known") or {"seq": 0, "whole": True, "hosts": []}, names)
     except ValueError as problem:
         raise ConfigError(f"known: {problem}") from None
-    peers = top.get("peers") or []
-    if not isinstance(peers, list):
-        raise ConfigError("peers is not a list")
+    class_names = [c.name for c in decisions.classes]
+    if "" in class_names or len(set(class_names)) < len(class_names):
+        raise ConfigError(f"settings: the class names are {class_names}, each has to be there once")
     return Config(
-        name=str(top.get("name") or ""),
-        listen=_address(top, "listen"),
-        discovery=_address(top, "discovery"),
-        mgmt=_address(top, "mgmt") if top.get("mgmt") is not None else None,
-        seed=_seed(top.get("seed")),
-        sockets=_sockets(top.get("limits")),
-        memory=_memory(top.get("limits")),
-        peer_listen=_address(top, "peer_listen") if top.get("peer_listen") else None,
-        peers=tuple(_parse_address(peer, "peers") for peer in peers),
-        peers_all=_address(top, "peers_all") if top.get("peers_all") else None,
-        settings=settings,
+        name=str(told.name or ""),
+        listen=address(told.listen),
+        discovery=address(told.discovery),
+        mgmt=address(told.mgmt) if told.mgmt is not None else None,
+        seed=_seed(told.seed),
+        sockets=_sockets(told.limits.sockets),
+        memory=(_amount(told.limits.memory_mb) or MEMORY_LEAST) * 1_000_000,
+        peer_listen=address(told.peer_listen) if told.peer_listen else None,
+        peers=tuple(map(address, told.peers or ())),
+        peers_all=address(told.peers_all) if told.peers_all else None,
+        settings=decisions,
         names=names,
-        reports=bool(settings.report_fields),
+        reports=bool(decisions.report_fields),
         connect_timeout=connect_timeout,
         idle_limit=idle_limit,
         known=known,
@@ -207,8 +210,8 @@
             share=_finite(entry.get("share", 1.0)),
             started=int(entry.get("born_ms", 0)) * 1_000_000,
         )
-        return Host(endpoint, _parse_address(entry.get("dial"), f"dial of {host}"))
-    except (TypeError, ValueError, OverflowError, ConfigError) as problem:
+        return Host(endpoint, address(msgspec.convert(entry.get("dial"), settings.Address)))
+    except (TypeError, ValueError, OverflowError) as problem:
         raise ValueError(f"host {host!r}: {problem}") from None
 
 
@@ -224,35 +227,28 @@
 
 
 def _positions(names: Any) -> dict[str, int]:
-    return {str(name): i for i, name in enumerate(names)} if isinstance(names, list) else {}
-
-
-def _address(top: dict[str, Any], key: str) -> Address:
-    return _parse_address(top.get(key), key)
+    return {str(name): i for i, name in enumerate(names)} if isinstance(names, list | tuple) else {}
 
 
-def _parse_address(text: Any, key: str) -> Address:
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not (colon and host and port.isascii() and port.isdigit() and int(port) < 65536):
-        raise ConfigError(f"{key} is {text!r}, not an address")
+def address(text: str) -> Address:
+    """An address that was found to be one."""
+    host, _, port = text.rpartition(":")
     return host.strip("[]"), int(port)
 
 
-def _seed(text: Any) -> int:
+def _seed(text: str | int | float) -> int:
     try:
         return int(text, 16) if isinstance(text, str) else int(text)
-    except (TypeError, ValueError):
-        raise ConfigError(f"seed is {text!r}") from None
+    except ValueError:
+        raise ConfigError(f"seed is {text!r}, where hexadecimal digits are allowed") from None
 
 
-def _memory(limits: Any) -> int:
-    told = limits.get("memory_mb") if isinstance(limits, dict) else None
-    return (told if isinstance(told, int) and told > 0 else MEMORY_LEAST) * 1_000_000
+def _amount(told: Any) -> int | None:
+    return told if isinstance(told, int) and told > 0 else None
 
 
-def _sockets(limits: Any) -> int:
-    told = limits.get("sockets") if isinstance(limits, dict) else None
-    most = told if isinstance(told, int) and told > 0 else SOCKETS_MOST
+def _sockets(told: Any) -> int:
+    most = _amount(told) or SOCKETS_MOST
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != resource.RLIM_INFINITY:
         most = min(most, soft)
--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 
+import msgspec
+
 from sprucenotch import api
 from sprucenotch.node.config import Address, Config, HostList, host_list
 from sprucenotch.node.host import Host
@@ -139,7 +140,7 @@
         if answer is None or answer.status != 200:
             raise CallFailed("no answer" if answer is None else f"status {answer.status}")
         try:
-            return host_list(json.loads(answer.body), self._names)
+            return host_list(msgspec.json.decode(answer.body), self._names)
         except (ValueError, RecursionError) as problem:
             raise CallFailed(f"malformed list: {problem}") from None
 
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -12,7 +12,6 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
-from pathlib import Path
 from typing import Any, NamedTuple, Protocol
 
 from sprucenotch import api
@@ -36,7 +35,8 @@
 
 def own_memory() -> int:
     """What this process holds by itself, in bytes."""
-    _, resident, shared, *_ = map(int, Path("/proc/self/statm").read_bytes().split())
+    with open("/proc/self/statm", "rb") as file:
+        _, resident, shared, *_ = map(int, file.read().split())
     return (resident - shared) * resource.getpagesize()
 
 
--- a/sprucenotch/node/management.py
+++ b/sprucenotch/node/management.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
+import msgspec
 
 from sprucenotch.node.config import Address
 from sprucenotch.node.frontend import reply
@@ -41,7 +41,7 @@
             return reply(405, [(b"Allow", b"GET")], b"only GET is served\n", close=True)
         if path == b"/api/ready":
             return _plain(200, b"ready") if self._ready() else _plain(503, b"not ready")
-        body = json.dumps(self._figures()).encode()
+        body = msgspec.json.encode(self._figures())
         return reply(200, [(b"Content-Type", b"application/json")], body, close=True)
 
 
--- a/sprucenotch/sim/host.py
+++ b/sprucenotch/sim/host.py
@@ -5,7 +5,7 @@
 import sys
 from typing import BinaryIO
 
-from sprucenotch import api
+from sprucenotch import api, settings
 from sprucenotch.balance import Balancer
 from sprucenotch.sim import wire
 
@@ -34,7 +34,9 @@
                 continue
             try:
                 if isinstance(event, wire.Attach):
-                    balancer = instances[number] = Balancer(wire.settings(event.conf), event.seed)
+                    balancer = instances[number] = Balancer(
+                        settings.decode(event.conf).decisions(), event.seed
+                    )
                     actions = balancer.handle(now, api.Attached())
                 elif (held := instances.get(number)) is not None:
                     actions = held.handle(now, event)
--- a/sprucenotch/sim/wire.py
+++ b/sprucenotch/sim/wire.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterator
 from struct import Struct, error
 from typing import Any
@@ -23,8 +22,6 @@
 
 OUTCOMES = {0: 0, 13: 1, 8: 2, 4: 3, 14: 4, 10: 5, 1: 6, 9: 7}  # the wire's code: api.Outcome
 LIST_KINDS = {0: 0, 2: 1, 3: 2, 4: 3}  # the wire's code: api.ListKind
-_EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-_SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
 _HEALTHS = (0, 1, 2)
 
 
@@ -192,93 +189,3 @@
 def frame(records: list[bytes]) -> bytes:
     body = b"".join(records)
     return REPLY.pack(len(records), 8 + len(body)) + body
-
-
-def settings(conf: bytes) -> api.Settings:
-    """The settings of an instance. Raises WireError that names the key which is missing or makes no sense."""
-    try:
-        top = json.loads(conf)
-    except ValueError as problem:
-        raise WireError(f"settings are not JSON: {problem}") from None
-    if not isinstance(top, dict):
-        raise WireError("settings are not an object")
-    limits, rules, prices = (part(top, key) for key in ("Limits", "Rules", "Deductions"))
-    stats = part(top, "Stats")
-    fields = tuple(str(x) for x in _list(stats, "Fields"))
-    classes = tuple(_request_class(c) for c in _list(top, "Categories"))
-    if not classes:
-        raise WireError("settings: Categories is empty")
-    tenants = tuple(api.Tenant(str(t.get("Name", "")), number(t, "QuotaPerS", 0)) for t in _list(top, "Orgs"))
-    return api.Settings(
-        classes=classes,
-        instance=int(number(top, "Position", 0)),
-        instances=int(number(top, "NInstances", 1, low=1)),
-        zone=int(number(top, "Zone", 0)),
-        zones=max(1, len(_list(top, "Azs"))),
-        tenants=tenants,
-        over_share_worth=number(top, "OverShareWorth", 1),
-        discovery_on_request=top.get("Discovery") == "on_request",
-        ask_within=int(number(rules, "AskWithinNs", 10_000_000_000)),
-        cold_from=number(rules, "ColdFrom", 1),
-        cold_for=int(number(rules, "ColdNs", 0)),
-        fall_multiple=number(rules, "FallMultiple", 2),
-        max_attempts=int(number(limits, "MaxAttempts", 1, low=1)),
-        can_cancel=bool(limits.get("Cancel")),
-        parallel_tries=bool(limits.get("ParallelTries")),
-        peers=bool(limits.get("Peers")),
-        probes=bool(limits.get("Probes")),
-        retry_after_max=int(number(limits, "MaxRetryAfterNs", 0)) if limits.get("RetryAfter") else 0,
-        report_fields=() if stats.get("Via") == "off" else fields,
-        cross_price=number(prices, "CrossZone", 0),
-        handshake_price=number(prices, "Handshake", 0),
-        connection_price=number(prices, "Connection", 0),
-        probe_price=number(prices, "Probe", 0),
-        waste_price=number(prices, "Waste", 0),
-        worth_by_work=top.get("WorthBy") == "work",
-        warm_keys=bool(part(top, "Extra").get("WarmKeys")),
-        tick=int(number(top, "TickNs", 5_000_000, low=1)),
-    )
-
-
-def _request_class(c: Any) -> api.RequestClass:
-    if not isinstance(c, dict):
-        raise WireError("settings: Categories holds something that is not an object")
-    effect, scope = c.get("Effect"), c.get("KeyScope", "all")
-    if effect not in _EFFECTS:
-        raise WireError(f"settings: Effect is {effect!r}")
-    if scope not in _SCOPES:
-        raise WireError(f"settings: KeyScope is {scope!r}")
-    return api.RequestClass(
-        name=str(c.get("Name", "")),
-        aim=int(number(c, "AimNs", low=1)),
-        limit=int(number(c, "HardLimitNs", low=1)),
-        worth=number(c, "Importance", 0),
-        late_worth=number(c, "LateWorth", 0),
-        effect=_EFFECTS[effect],
-        scope=_SCOPES[scope],
-        window=int(number(c, "WindowNs", 0)),
-        aim_stretch=number(c, "AimStretch", 0),
-    )
-
-
-def part(top: dict[str, Any], key: str) -> dict[str, Any]:
-    value = top.get(key, {})
-    if not isinstance(value, dict):
-        raise WireError(f"settings: {key} is not an object")
-    return value
-
-
-def _list(top: dict[str, Any], key: str) -> list[Any]:
-    value = top.get(key)
-    if value is None:
-        return []
-    if not isinstance(value, list):
-        raise WireError(f"settings: {key} is not a list")
-    return value
-
-
-def number(part: dict[str, Any], key: str, default: float | None = None, low: float = 0) -> float:
-    value = part.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < float("inf"):
-        raise WireError(f"settings: {key} is {value!r}")
-    return value
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from sprucenotch import api
+from sprucenotch import api, settings
 from sprucenotch.sim import host as simhost
 from sprucenotch.sim import wire
 
@@ -99,7 +99,7 @@
 
 
 def test_settings_ignore_unknown_keys_and_live_without_optional_ones() -> None:
-    parsed = wire.settings(json.dumps(GOOD | {"Novel": [1]}).encode())
+    parsed = settings.decode(json.dumps(GOOD | {"Novel": [1]}).encode()).decisions()
     [cls] = parsed.classes
     assert (cls.effect, cls.scope, cls.worth, cls.late_worth) == (api.Effect.KEYED, api.Scope.CELL, 2, 0)
 
@@ -117,8 +117,8 @@
     ],
 )
 def test_settings_that_make_no_sense_name_the_key(change: dict[str, object], named: str) -> None:
-    with pytest.raises(wire.WireError, match=named):
-        wire.settings(json.dumps(GOOD | change).encode())
+    with pytest.raises(settings.SettingsError, match=named):
+        settings.decode(json.dumps(GOOD | change).encode())
 
 
 def batch(*records: bytes) -> bytes:
