A command line, and a TOML form of the configuration with units, schema, show and diff

Change: cli/ (typer) has serve, config check, show, diff and schema; config/ turns TOML into the platform's form by the same types, so that both mean the same; the schemas under docs/ are generated. The sidecar is node/serve.py; with no words __main__ loads nothing else. Exit codes: 0 fine, 1 the answer is no, 2 bad input, 3 an address cannot be used.

--- a/sprucenotch/__init__.py
+++ b/sprucenotch/__init__.py
@@ -3,4 +3,5 @@
 from sprucenotch.api import Settings
 from sprucenotch.balance import Balancer
 
-__all__ = ["Balancer", "Settings"]
+__version__ = "0.2.0"
+__all__ = ["Balancer", "Settings", "__version__"]
--- /dev/null
+++ b/sprucenotch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. The sidecar does not import it."""
--- /dev/null
+++ b/sprucenotch/cli/main.py
@@ -0,0 +1,66 @@
+"""`sprucenotch`: the one program that operators type. Every command is a thin cover over its subsystem."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from sprucenotch import __version__
+from sprucenotch.cli import config
+from sprucenotch.cli.output import Exit, fail
+
+app = typer.Typer(
+    name="sprucenotch", no_args_is_help=True, rich_markup_mode=None, pretty_exceptions_enable=False,
+    help="A load balancer that runs as a sidecar beside each client. Exit codes: 0 fine, 1 the answer is no, "
+    "2 bad input, 3 an address cannot be used.",
+)  # fmt: skip
+app.add_typer(config.app, name="config")
+
+
+def print_version(wanted: bool) -> None:
+    if wanted:
+        print(f"sprucenotch {__version__}")
+        raise typer.Exit(Exit.FINE)
+
+
+@app.callback()
+def common(
+    version: Annotated[
+        bool, typer.Option("--version", callback=print_version, is_eager=True, help="Print the version.")
+    ] = False,
+) -> None:
+    pass
+
+
+@app.command()
+def serve(
+    file: Annotated[
+        Path | None, typer.Argument(help="Its configuration; without one, what PROXY_CONFIG names.")
+    ] = None,
+) -> None:
+    """Run one sidecar in the foreground, until SIGTERM. SIGHUP takes the file up again."""
+    if file is not None:
+        config.load(file)  # whatever is wrong is told before anything starts
+        os.environ["PROXY_CONFIG"] = str(file.resolve())
+    elif not os.environ.get("PROXY_CONFIG"):
+        fail(Exit.BAD_INPUT, "name a configuration file, here or in PROXY_CONFIG")
+    # In place of this process, so that it holds nothing that only the command line needs.
+    os.execv(sys.executable, (sys.executable, "-m", "sprucenotch"))
+
+
+def main() -> int:
+    """The console script. Returns its exit code."""
+    try:
+        return int(app(standalone_mode=False) or Exit.FINE)
+    except typer.Abort:
+        return 130
+    except Exception as problem:
+        usage = getattr(problem, "format_message", None)  # click's own errors say what was typed wrong
+        if usage is None:
+            raise
+        print(f"sprucenotch: {usage()}", file=sys.stderr)
+        return int(Exit.BAD_INPUT)
--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -107,17 +107,35 @@
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
+    try:
+        top = read(path)
+    except ConfigError as problem:
+        raise ConfigError(f"PROXY_CONFIG {path}: {problem}") from None
+    stand_in(top, environ)
+    return parse(top)
+
+
+def read(path: str) -> dict[str, Any]:
+    """A file in the platform's form; one named .toml is turned into it. Raises ConfigError."""
     try:
         with open(path, "rb") as file:
-            top = msgspec.json.decode(file.read())
+            raw = file.read()
     except OSError as problem:
-        raise ConfigError(f"PROXY_CONFIG: {problem.strerror}: {path}") from None
+        raise ConfigError(f"cannot be read: {problem.strerror}") from None
+    if path.endswith(".toml"):
+        from sprucenotch.config import toml  # what is told in JSON does without it
+
+        try:
+            return toml.decode(raw)
+        except settings.SettingsError as problem:
+            raise ConfigError(f"{problem}") from None
+    try:
+        top = msgspec.json.decode(raw)
     except (msgspec.DecodeError, RecursionError) as problem:
-        raise ConfigError(f"PROXY_CONFIG is not JSON: {problem}") from None
+        raise ConfigError(f"not JSON: {problem}") from None
     if not isinstance(top, dict):
-        raise ConfigError("PROXY_CONFIG is not an object")
-    stand_in(top, environ)
-    return parse(top)
+        raise ConfigError("not an object")
+    return top
 
 
 def stand_in(top: dict[str, Any], environ: Mapping[str, str]) -> None:
--- /dev/null
+++ b/sprucenotch/node/serve.py
@@ -0,0 +1,129 @@
+"""One real sidecar: start, signals, exit."""
+
+from __future__ import annotations
+
+import array
+import asyncio
+import gc
+import logging
+import os
+import signal
+import socket
+import struct
+import sys
+
+import uvloop
+
+from sprucenotch.node.config import Address, Config, ConfigError, load
+from sprucenotch.node.discovery import Discovery
+from sprucenotch.node.frontend import ClientConnection, Frontend
+from sprucenotch.node.host import Clock, Host
+from sprucenotch.node.management import Management
+from sprucenotch.node.peers import Peers
+
+ACCEPT_ON = 0.6  # after SIGTERM new connections come for 0.2 to 0.4 s more
+BACKLOG = 512
+SO_ATTACH_REUSEPORT_CBPF = 51  # as Linux numbers it; Python has no name for it
+RETURN_1 = struct.pack("HBBI", 0x06, 0, 0, 1)  # a classic BPF program of one instruction: "ret #1"
+
+log = logging.getLogger(__name__)
+
+
+async def serve(config: Config) -> None:
+    """Serve until SIGTERM or SIGINT; then finish what was taken."""
+    loop = asyncio.get_running_loop()
+    host = Host(config, loop, Clock())
+    frontend = Frontend(config, host, loop)
+    told_to_stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told_to_stop.set)
+    if config.peer_listen is not None and config.settings.peers:
+        await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
+    if config.mgmt is not None:
+        management = Management(lambda: frontend.ready, host.figures, config.callers_most)
+        await management.listen(loop, config.mgmt)
+    host.start(config.known)
+    discovery = Discovery(config, host, loop)
+    discovery.start()
+    taken = [config]  # the file in force
+    loop.add_signal_handler(signal.SIGHUP, reconfigure, taken, host, frontend, discovery)
+    listener = shared_listener(config.listen)
+    server = await loop.create_server(lambda: ClientConnection(frontend), sock=listener, backlog=BACKLOG)
+    frontend.listening = True
+    await told_to_stop.wait()
+    # Answers close their connections from here on, so that clients leave as they are served.
+    frontend.draining = True
+    steer_to_successor(listener)
+    log.info("draining: %d requests are in progress", host.telemetry.in_progress)
+    await asyncio.sleep(ACCEPT_ON)
+    server.close()
+    frontend.close_idle()
+    # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
+    # answer are given up by the rules for them, so this ends.
+    await frontend.finished()
+    log.info("drained")
+
+
+def shared_listener(address: Address) -> socket.socket:
+    """The clients' address, bound so that a successor can listen there too."""
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        listener.bind(address)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def steer_to_successor(listener: socket.socket) -> None:
+    """Send new connections to the second process that listens here, which is the younger one.
+
+    What waits in a listener's queue is reset when it closes, so the queue has to be empty by then. Alone,
+    this process is the first and the kernel, finding no second, goes on giving it all. The program stays
+    with the address: a later successor gets the new connections as soon as it listens, and can serve them.
+    """
+    code = array.array("B", RETURN_1)
+    program = struct.pack("HxxxxxxP", 1, code.buffer_info()[0])
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
+    except OSError as problem:  # then both go on sharing them until this one's listener closes
+        log.warning("new connections cannot be steered to a successor: %s", problem)
+
+
+def reconfigure(taken: list[Config], host: Host, frontend: Frontend, discovery: Discovery) -> None:
+    """Take up the replaced configuration file: settings, and where discovery is. All of it or nothing."""
+    try:
+        fresh = load(os.environ)
+        fresh.check_complete(taken[0])
+    except ConfigError as problem:
+        host.telemetry.load_errors += 1
+        log.warning("the configuration stays as it was: %s", problem)
+        return
+    host.telemetry.loads += 1
+    taken[0] = fresh
+    frontend.retune(fresh)
+    host.retune(fresh)
+    discovery.retune(fresh)
+    log.info("the configuration is taken: classes %s", ", ".join(c.name for c in fresh.settings.classes))
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as problem:
+        print(f"sprucenotch: {problem}", file=sys.stderr)
+        return 2
+    gc.freeze()  # what is loaded by now stays: the collector need not go over it again
+    try:
+        uvloop.run(serve(config))
+    except OSError as problem:
+        print(f"sprucenotch: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sprucenotch/settings.py
+++ b/sprucenotch/settings.py
@@ -183,11 +183,23 @@
 class Host(Struct, frozen=True):
     """What the machine of a sidecar gives it."""
 
-    cores: Amount = None
-    memory_mb: Amount = None
+    cores: Annotated[Any, Meta(description="a number", extra_json_schema={"type": "number"})] = None
+    memory_mb: Annotated[Amount, Meta(extra={"unit": "MB"})] = None
     sockets: Amount = None
 
 
+class Log(Struct, frozen=True):
+    """What the log tells, and how."""
+
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], Meta(description="debug, info, warning or error")
+    ] = "info"
+    form: Annotated[
+        Literal["auto", "json", "text"], Meta(description="json, text or auto, which is text on a terminal")
+    ] = "auto"
+    access_per_s: Share = 0  # requests told of, a second at most; the others are counted
+
+
 class File(Struct, frozen=True):
     """A configuration file, whole. Source: the deployment's page, "What a sidecar is told"."""
 
@@ -198,6 +210,7 @@
     name: Text = ""
     mgmt: Address | None = None
     limits: Host = Host()
+    log: Log = Log()
     known: Free | None = None
     peer_listen: Address | None = None
     peers: Annotated[tuple[Address, ...] | None, Meta(description="a list of addresses")] = ()
@@ -260,7 +273,7 @@
     """A limit that was left unjudged, in nanoseconds. Raises SettingsError where it makes no sense."""
     value = getattr(limits, field)
     [name] = (known.encode_name for known in msgspec.structs.fields(limits) if known.name == field)
-    if (found := _fault(value, kind, f"settings.Limits.{name}")) is not None:
+    if (found := fault(value, kind, f"settings.Limits.{name}")) is not None:
         raise SettingsError([found])
     return int(value)
 
@@ -286,11 +299,12 @@
     elif isinstance(raw, list) and raw and (entry := entry_type(inner)) is not None:
         for number, value in enumerate(raw):
             yield from problems(value, entry, f"{path}[{number}]")
-    elif (found := _fault(raw, kind, path)) is not None:
+    elif (found := fault(raw, kind, path)) is not None:
         yield found
 
 
-def _fault(raw: Any, kind: Any, path: str) -> Problem | None:
+def fault(raw: Any, kind: Any, path: str) -> Problem | None:
+    """What is wrong with a single value, if anything."""
     try:
         msgspec.convert(raw, kind)
     except msgspec.ValidationError:
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,130 @@
+"""The command line as it is typed, and the forms of a configuration file."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucenotch import settings
+from sprucenotch.config import schema, toml, units
+from sprucenotch.node import config
+from tests.sidecar import SETTINGS, configuration
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = ROOT / "deploy" / "example.toml"
+
+
+def typed(*words: str, environment: dict[str, str] | None = None) -> tuple[int, str, str]:
+    """What a command answers: its exit code, its output and its complaint."""
+    environ = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")} | (environment or {})
+    command = (sys.executable, "-m", "sprucenotch", *words)
+    done = subprocess.run(command, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60)
+    return done.returncode, done.stdout, done.stderr
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration("127.0.0.1:9")))
+    return path
+
+
+@given(st.integers(0, 10**18), st.sampled_from((units.NANOSECONDS, units.BYTES)))
+def test_a_figure_is_read_as_it_is_written(value: int, known: dict[str, int]) -> None:
+    assert units.parse(units.spell(value, known), known) == value
+
+
+def test_the_toml_form_means_what_the_platforms_does() -> None:
+    told = toml.decode(EXAMPLE.read_bytes())
+    parsed = config.parse(told)
+    by_name = {c.name: c for c in parsed.settings.classes}
+    assert (by_name["place-order"].window, by_name["price-check"].aim) == (15 * 10**9, 400 * 10**6)
+    assert (parsed.memory, parsed.connect_timeout) == (64_000_000, 200_000_000)
+    assert config.parse(json.loads(json.dumps(told))) == parsed
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('aim = "400ms"', 'aim = "400"', "settings.categories[0].aim is '400', where a time such as 400ms"),
+        ('aim = "400ms"', 'aimm = "400ms"', "settings.categories[0].aimm is not known; aim is"),
+        ("max_attempts = 3", "max_attempts = 0", "a number of at least 1"),
+        ("probes = true", "probes = 1", "settings.limits.probes is 1, where true or false is allowed"),
+        ('memory = "64MB"', "memory = 64", "a size such as 64MB"),
+        ("cold_from = 0.2", "cold_from = inf", "a number of at least 0"),
+        ("[limits]", "[limits", "not TOML"),
+    ],
+)
+def test_a_slip_in_toml_is_named_by_its_path(old: str, new: str, said: str, tmp_path: Path) -> None:
+    broken = tmp_path / "broken.toml"
+    broken.write_text(EXAMPLE.read_text().replace(old, new, 1))
+    with pytest.raises(config.ConfigError) as caught:
+        config.read(str(broken))
+    assert said in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("name", "made"), [("config.schema.json", schema.platform), ("config.toml.schema.json", schema.by_hand)]
+)
+def test_the_schema_that_is_shipped_is_that_of_the_types(name: str, made: Any) -> None:
+    assert json.loads((ROOT / "docs" / name).read_text()) == made()
+
+
+def test_show_names_every_figure_with_its_source(file: Path) -> None:
+    code, said, _ = typed("config", "show", "--json", str(file), environment={"PROXY_MGMT": "127.0.0.1:7"})
+    rows = json.loads(said)
+    assert code == 0
+    assert rows["mgmt"] == {"value": "127.0.0.1:7", "source": "PROXY_MGMT"}
+    assert rows["settings.categories[0].aim"] == {"value": "2s", "source": "file"}
+    assert rows["settings.rules.ask_within"] == {"value": "10s", "source": "default"}
+    fields = len(msgspec.structs.fields(settings.Category)) * len(SETTINGS["Categories"])
+    assert len([path for path in rows if path.startswith("settings.categories[")]) == fields
+
+
+def test_diff_tells_what_a_sighup_would_take(file: Path, tmp_path: Path) -> None:
+    told, new = json.loads(file.read_text()), tmp_path / "new.json"
+    told["settings"]["Limits"]["MaxAttempts"] = 2
+    told["listen"] = "127.0.0.1:9"
+    new.write_text(json.dumps(told))
+    code, said, _ = typed("config", "diff", str(file), str(new))
+    assert code == 0 and said.splitlines()[-1] == "SIGHUP would take it"
+    assert "settings.limits.max_attempts: 5 -> 2\n" in said
+    assert "listen: 127.0.0.1:0 -> 127.0.0.1:9  (not before the next start)" in said
+    del told["settings"]["Limits"]["Probes"]
+    new.write_text(json.dumps(told))
+    code, said, _ = typed("config", "diff", str(file), str(new))
+    assert code == 1 and "turn it down: settings.Limits.Probes is missing" in said
+
+
+@pytest.mark.parametrize(
+    ("words", "code"),
+    [
+        (("config", "check", "/nowhere"), 2),
+        (("config", "check"), 2),
+        (("config", "check", str(ROOT)), 2),
+        (("config", "check", str(ROOT / "README.md")), 2),
+        (("serve",), 2),
+        (("serve", "/nowhere.toml"), 2),
+        (("nonsense",), 2),
+    ],
+)
+def test_bad_input_is_one_plain_line_and_an_exit_code(words: tuple[str, ...], code: int) -> None:
+    ended, said, complaint = typed(*words)
+    assert (ended, said, complaint.count("\n")) == (code, "", 1)
+    assert complaint.startswith("sprucenotch: ")
+
+
+def test_the_sidecar_itself_imports_neither_the_command_line_nor_the_rig() -> None:
+    code = "import sys, sprucenotch.__main__, sprucenotch.node.serve; print(*sys.modules)"
+    done = subprocess.run((sys.executable, "-c", code), cwd=ROOT, capture_output=True, text=True, check=True)
+    own = {f"sprucenotch.{part}" for part in ("cli", "config", "rig", "sim")}
+    assert not set(done.stdout.split()) & ({"typer", "rich", "tomllib", "json"} | own)
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -12,11 +12,11 @@
 import pytest
 
 from sprucenotch import api
-from sprucenotch.__main__ import reconfigure
 from sprucenotch.api import Effect, Outcome
 from sprucenotch.balance import USER_LEVELS
 from sprucenotch.node import config
 from sprucenotch.node.config import Config, ConfigError
+from sprucenotch.node.serve import reconfigure
 from tests.helpers import MS, SECOND, Bench, request_class, settings
 from tests.sidecar import (
     SETTINGS,
