Structured events in the log, a sampled access log, and GET /metrics in OpenMetrics

Cause: the log was prose, its level fixed, and nothing told latencies by class or what became of attempts by engine. Change: events with named fields as JSON lines (text on a terminal), level by configuration, SIGUSR1 and POST /api/log; an access log bounded a second; metrics on the management listener. host.py is divided: ledger.py holds a request, standing.py what staff are told, telemetry.py the counters that all three draw on.

--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -92,7 +92,9 @@
 def start_cost(version: Version) -> tuple[float, float]:
     """Seconds of processor time and megabytes resident after the imports of `run`."""
     code = (
-        f"import time, {version.command[2]}.__main__; used = time.process_time();"
+        f"import importlib, time\nimportlib.import_module('{version.command[2]}.__main__')\n"
+        f"try: importlib.import_module('{version.command[2]}.node.serve')\n"  # where it is apart
+        "except ModuleNotFoundError: pass\nused = time.process_time()\n"
         "pages = int(open('/proc/self/statm').read().split()[1]); print(used, pages * 4096 / 1e6)"
     )
     done = subprocess.run(
--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from sprucenotch import api, settings
+from sprucenotch.settings import Log
 
 Address: TypeAlias = tuple[str, int]
 
@@ -35,6 +36,7 @@
 
     endpoint: api.Endpoint
     dial: Address
+    name: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,7 @@
     connect_timeout: int
     idle_limit: int  # endpoints close connections that stood idle this long
     known: HostList
+    log: Log
     told: Mapping[str, Any]  # the file itself
 
     def check_complete(self, before: Config) -> None:
@@ -182,6 +185,7 @@
         connect_timeout=connect_timeout,
         idle_limit=idle_limit,
         known=known,
+        log=told.log,
         told=top,
     )
 
@@ -228,7 +232,7 @@
             share=_finite(entry.get("share", 1.0)),
             started=int(entry.get("born_ms", 0)) * 1_000_000,
         )
-        return Host(endpoint, address(msgspec.convert(entry.get("dial"), settings.Address)))
+        return Host(endpoint, address(msgspec.convert(entry.get("dial"), settings.Address)), host)
     except (TypeError, ValueError, OverflowError) as problem:
         raise ValueError(f"host {host!r}: {problem}") from None
 
--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -10,6 +10,7 @@
 from sprucenotch import api
 from sprucenotch.node.config import Address, Config, HostList, host_list
 from sprucenotch.node.host import Host
+from sprucenotch.node.log import event
 from sprucenotch.node.upstream import Answer, Connection
 
 log = logging.getLogger(__name__)
@@ -65,7 +66,7 @@
         """Go on at another address. The old one hangs up soon, and need not answer until then."""
         if address == self._address:
             return
-        log.info("discovery is now at %s:%d", *address)
+        event(log, logging.INFO, "discovery moved", host=address[0], port=address[1])
         self._address = address
         if self._connection is not None:
             self._connection.close()
@@ -107,7 +108,7 @@
             self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
 
     def _failed(self, problem: CallFailed) -> None:
-        log.debug("discovery: %s", problem)
+        event(log, logging.DEBUG, "discovery failed", why=str(problem))
         self._count("lists_failed")
 
     def _count(self, name: str) -> None:
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -16,7 +16,8 @@
 
 from sprucenotch import api
 from sprucenotch.node.config import SECOND, Config
-from sprucenotch.node.host import Host, Incoming
+from sprucenotch.node.host import Host
+from sprucenotch.node.ledger import Incoming
 from sprucenotch.node.stream import (
     ANSWER_ROOM,
     LAST_CHUNK,
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -7,37 +7,31 @@
 
 import asyncio
 import logging
-import resource
 import time
 from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.balance import Balancer, Member
+from sprucenotch.balance import Balancer
 from sprucenotch.node.config import SECOND, Config, HostList
+from sprucenotch.node.ledger import Client, Incoming, Open
+from sprucenotch.node.log import AccessLog
+from sprucenotch.node.log import event as tell
+from sprucenotch.node.standing import MS, STATUS_EVERY, Standing, own_memory
 from sprucenotch.node.stream import READ_MOST, Budget, Stream
 from sprucenotch.node.telemetry import Telemetry
 from sprucenotch.node.upstream import Answer, Attempt, Upstream
 
 log = logging.getLogger(__name__)
 
-MS = 1_000_000
 DEADLINE_MARGIN = 10 * MS  # the client's time ends this much earlier here: for loop lag and the way back
 # A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
 # has told binds it from then on. Much later, and a replacement would not come in time.
 TOLD_WITHIN = 3 * SECOND
 HELD_SHARE = 0.5  # of an attempt's time: later, an answer of unknown length is not held to be tried again
-STATUS_EVERY = 1.0  # seconds between two status lines: cuts and queues turn within a few
-
-
-def own_memory() -> int:
-    """What this process holds by itself, in bytes."""
-    with open("/proc/self/statm", "rb") as file:
-        _, resident, shared, *_ = map(int, file.read().split())
-    return (resident - shared) * resource.getpagesize()
 
 
 class Clock:
@@ -50,80 +44,16 @@
         return time.monotonic_ns() + self._anchor
 
 
-class Client(Protocol):
-    """Where the final answer of a request goes. It says when that has left, by `Host.ended`."""
-
-    id: int  # the request's, here
-
-    def serve(self, answer: Answer) -> None: ...
-
-    def refuse(self, stay_away: int) -> None: ...
-
-    def fail(self, timed_out: bool) -> None: ...
-
-
-class Incoming(NamedTuple):
-    """A request as the client sent it, checked."""
-
-    cls: str
-    tenant: int
-    key: int
-    deadline: int
-    hint: int
-    repeat: bool
-    head: bytes  # the request line and the headers that go on, but for the deadline and the empty line
-    body: bytes  # empty where it comes as a stream
-
-
-class Open:
-    """A request in the ledger: owed its final answer or the rest of it, or with an attempt still out."""
-
-    __slots__ = (
-        "answered", "attempt", "attempts", "client", "coming", "deadline", "ended", "endpoint", "expires",
-        "haste", "held", "id", "incoming", "last", "leaving", "patience", "room", "sent", "taken", "tally",
-        "timeout", "tries", "until", "upload",
-    )  # fmt: skip
-
-    def __init__(
-        self,
-        rid: int,
-        client: Client,
-        incoming: Incoming,
-        expires: int,
-        tries: int,
-        room: int,
-        upload: Stream | None,
-    ) -> None:
-        self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
-        self.room = self.held = room  # memory reserved at its head, and what of it is held now
-        self.upload = upload
-        self.tries = tries  # as many as the settings allowed when it came
-        self.coming = upload is not None  # its last byte has not come: its time does not run yet
-        self.taken = False
-        self.answered = self.ended = False
-        self.tally: Counter[str] | None = None  # what its final answer counts as
-        self.leaving = 0  # memory that the answer on its way out holds
-        self.attempts = self.sent = self.until = self.timeout = 0
-        self.attempt: Attempt | None = None
-        self.endpoint: api.EndpointId = b""
-        self.last = -1  # the outcome of the last attempt
-        self.deadline: asyncio.TimerHandle | None = None
-        self.patience: asyncio.TimerHandle | None = None
-        self.haste: asyncio.TimerHandle | None = None
-
-    def payload(self, now: Callable[[], int]) -> bytes:
-        left = self.incoming.deadline if self.coming else max(0, self.until - now())
-        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.incoming.head, left / SECOND, self.incoming.body)
-
-
 class Host:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._settings = config.settings
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
-        self.budget = Budget(config.bodies_most(own_memory()))
+        self.budget = Budget(config.bodies_most(own_memory()[1]))
         self.telemetry = Telemetry()
         self.upstream = Upstream(config, loop, clock.now, self.count)
+        self.standing = Standing(self._balancer, self.telemetry, self.upstream, clock.now)
+        self._access = AccessLog(config.log.access_per_s)
         self._open: dict[int, Open] = {}
         self._last_id = 0
         self._events: deque[api.Event] = deque()
@@ -143,30 +73,39 @@
         self.listed = False  # whether any endpoint has been named yet
         self._told = False  # whether discovery has, since the start
         self._patient_until = self.now() + TOLD_WITHIN
-        self._took = 0  # by the attempts served since then
 
     # ---- events
 
     def start(self, known: HostList) -> None:
-        self._loop.call_later(STATUS_EVERY, self._status)
+        self._status_at(self._loop.time() + STATUS_EVERY)
         self.post(api.Attached())
         self.learn(known, api.ListKind.CACHED)
 
+    def _status_at(self, due: float) -> None:
+        def status() -> None:
+            now = self._loop.time()
+            self._status_at(now + STATUS_EVERY)
+            self.standing.status(now - due)
+
+        self._loop.call_at(due, status)
+
     def _know_classes(self) -> None:
         self._numbers = {c.name: number for number, c in enumerate(self._settings.classes)}
-        self.telemetry.know(self._numbers)
+        self.telemetry.know(self._settings.classes)
 
     def retune(self, config: Config) -> None:
         """Take up other settings, for the requests to come."""
         self._settings = config.settings
         self._know_classes()
         self.upstream.retune(config)
+        self._access = AccessLog(config.log.access_per_s)
         self.post(api.Retuned(config.settings))
 
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
         self._told = self._told or kind != api.ListKind.CACHED
         self.upstream.learn(told.hosts, whole=kind != api.ListKind.DELTA)
+        self.telemetry.keep_engines(self.upstream)
         self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
 
     @property
@@ -191,7 +130,7 @@
             actions = self._balancer.handle(self.now(), event)
         except Exception:
             # A fault in one decision must not take the others down. Its request fails at the deadline.
-            log.exception("fault in handling %s", type(event).__name__)
+            log.exception("fault", extra={"fields": {"handling": type(event).__name__}})
             return
         for action in actions:
             self._actions[type(action)](action)
@@ -200,47 +139,6 @@
         """Count what the fleet pays for together, such as a handshake or a call to discovery."""
         self.telemetry.events[name] += 1
 
-    def figures(self) -> dict[str, Any]:
-        members = [m for m in self._balancer.members.values() if m.health != api.Health.GONE]
-        return self.telemetry.figures(len(members), sum(map(self._avoided, members)))
-
-    def _avoided(self, member: Member) -> bool:
-        """Whether an engine that is listed gets nothing now: it drains, or is ejected and not kept for want
-        of others."""
-        if member.health != api.Health.READY:
-            return True
-        return member.out_until > self.now() and not any(member in side for side in self._balancer.subset)
-
-    def _status(self) -> None:
-        """One line for on-call: what came and went since the last, and how the decisions stand."""
-        self._loop.call_later(STATUS_EVERY, self._status)
-        counts = self.telemetry.growth()
-        took, self._took = self._took / MS / max(1, counts["ok"]), 0
-        if counts:
-            said = " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
-            log.info(
-                "status: %s ok_ms=%.1f open=%d connections=%d | %s",
-                said, took, len(self._open), self.upstream.connections, self._stand(),
-            )  # fmt: skip
-
-    def _is_cold(self, endpoint: api.EndpointId) -> bool:
-        member = self._balancer.members.get(endpoint)
-        return member is not None and self._balancer.warmth(member, self.now()) < 1
-
-    def _stand(self) -> str:
-        b = self._balancer
-        ready, used = (sum(map(len, sides)) for sides in (b.order, b.subset))
-        cold = sum(self._is_cold(member.id) for side in b.order for member in side)
-        base, mean = (
-            "/".join(f"{t / MS:.0f}" for t in times)
-            for times in ([k.base for k in b.kinds], [k.mean for k in b.kinds])
-        )
-        return (
-            f"cut={b.cut:.0f}/{b.top} pressure={b.pressure:.2f}/{b.over:.2f} crossing={b.crossing:.2f} "
-            f"flying={b.flying} peak={b.peak:.1f} ready={ready} cold={cold} used={used} "
-            f"budget={b.budget:.1f} base_ms={base} mean_ms={mean}"
-        )
-
     # ---- requests
 
     def request(self, client: Client, incoming: Incoming, room: int, upload: Stream | None = None) -> None:
@@ -274,9 +172,9 @@
 
     def _take(self, request: Open) -> None:
         """Its last byte has come."""
-        request.taken = True
+        request.taken, request.began = True, self.now()
         self.telemetry.in_progress += 1
-        left = (request.expires - self.now()) / SECOND
+        left = (request.expires - request.began) / SECOND
         request.deadline = self._loop.call_later(left, self._at_deadline, request)
 
     def uploaded(self, rid: int) -> None:
@@ -311,8 +209,25 @@
         tally = self.telemetry.bad_gateway if broken else request.tally
         if tally is not None:
             tally[request.incoming.cls] += 1
+        now = self.now()
+        if tally is self.telemetry.passed:
+            self.telemetry.latency[request.incoming.cls].observe(now - request.began)
+        if self._access.on and self._access.wants(now):
+            self._tell_access(request, now, tally)
         self._settle(request)
 
+    def _tell_access(self, request: Open, now: int, tally: Counter[str] | None) -> None:
+        told = self.telemetry
+        outcomes = ((told.passed, "served"), (told.dropped, "refused"), (told.bad_gateway, "failed"))
+        self._access.tell(
+            cls=request.incoming.cls,
+            outcome=next((name for counter, name in outcomes if counter is tally), "client gone"),
+            attempts=request.attempts,
+            engine=self.upstream.name(request.endpoint) if request.attempts else "",
+            took_ms=round((now - request.began) / MS, 1),
+            attempt_ms=round((now - request.sent) / MS, 1) if request.attempts else 0.0,
+        )
+
     def turn_down(self, incoming: Incoming) -> None:
         """Count a request refused for want of memory, which never came into the ledger."""
         self.count("no_room")
@@ -324,7 +239,7 @@
             request.attempt.abandon(Outcome.TIMEOUT)
         if not request.answered:
             # The decisions answer each request by now; whatever keeps them from it, none is lost.
-            log.error("request %d was left unanswered until its deadline", request.id)
+            tell(log, logging.ERROR, "request left unanswered until its deadline", request=request.id)
             self._fail(api.Fail(request.id))
             self.post(api.Gone(request.id))
 
@@ -364,7 +279,7 @@
             return
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
-        if self._is_cold(action.endpoint):
+        if self.standing.is_cold(action.endpoint):
             self.count("cold_sends")
         done = partial(self._completed, request, number)
         attempt = self.upstream.attempt(
@@ -415,7 +330,7 @@
         if answer is not None and answer.rest is not None:
             # Of a long one the time to its head: how long it was held here is no wait there.
             took -= time.monotonic_ns() - answer.headed
-        self._took += took * (outcome == Outcome.OK)
+        self.telemetry.attempt_ended(request.endpoint, outcome, took)
         self.post(api.Completed(request.id, number, request.endpoint, outcome, took, over, report))
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -446,4 +361,4 @@
         )
 
     def _log(self, action: api.Log) -> None:
-        log.info("%s", action.text)
+        tell(log, logging.INFO, "decision", text=action.text)
--- /dev/null
+++ b/sprucenotch/node/ledger.py
@@ -0,0 +1,80 @@
+"""A request in the ledger, and what its client and its head say."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from sprucenotch import api
+from sprucenotch.node.config import SECOND
+from sprucenotch.node.stream import Stream
+from sprucenotch.node.upstream import Answer, Attempt
+
+
+class Client(Protocol):
+    """Where the final answer of a request goes. It says when that has left, by `Host.ended`."""
+
+    id: int  # the request's, here
+
+    def serve(self, answer: Answer) -> None: ...
+
+    def refuse(self, stay_away: int) -> None: ...
+
+    def fail(self, timed_out: bool) -> None: ...
+
+
+class Incoming(NamedTuple):
+    """A request as the client sent it, checked."""
+
+    cls: str
+    tenant: int
+    key: int
+    deadline: int
+    hint: int
+    repeat: bool
+    head: bytes  # the request line and the headers that go on, but for the deadline and the empty line
+    body: bytes  # empty where it comes as a stream
+
+
+class Open:
+    """A request in the ledger: owed its final answer or the rest of it, or with an attempt still out."""
+
+    __slots__ = (
+        "answered", "attempt", "attempts", "began", "client", "coming", "deadline", "ended", "endpoint",
+        "expires", "haste", "held", "id", "incoming", "last", "leaving", "patience", "room", "sent",
+        "taken", "tally", "timeout", "tries", "until", "upload",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        rid: int,
+        client: Client,
+        incoming: Incoming,
+        expires: int,
+        tries: int,
+        room: int,
+        upload: Stream | None,
+    ) -> None:
+        self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
+        self.room = self.held = room  # memory reserved at its head, and what of it is held now
+        self.upload = upload
+        self.tries = tries  # as many as the settings allowed when it came
+        self.coming = upload is not None  # its last byte has not come: its time does not run yet
+        self.taken = False
+        self.began = 0  # when it was whole
+        self.answered = self.ended = False
+        self.tally: Counter[str] | None = None  # what its final answer counts as
+        self.leaving = 0  # memory that the answer on its way out holds
+        self.attempts = self.sent = self.until = self.timeout = 0
+        self.attempt: Attempt | None = None
+        self.endpoint: api.EndpointId = b""
+        self.last = -1  # the outcome of the last attempt
+        self.deadline: asyncio.TimerHandle | None = None
+        self.patience: asyncio.TimerHandle | None = None
+        self.haste: asyncio.TimerHandle | None = None
+
+    def payload(self, now: Callable[[], int]) -> bytes:
+        left = self.incoming.deadline if self.coming else max(0, self.until - now())
+        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.incoming.head, left / SECOND, self.incoming.body)
--- a/sprucenotch/node/management.py
+++ b/sprucenotch/node/management.py
@@ -1,4 +1,4 @@
-"""The second listener, for the operators' callers: readiness and figures. It reads and never decides."""
+"""The second listener, for the operators' callers: readiness and figures. It reads, and never decides."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 
 from sprucenotch.node.config import Address
 from sprucenotch.node.frontend import reply
+from sprucenotch.node.log import LEVELS, set_level
+from sprucenotch.node.metrics import CONTENT_TYPE
 
 CALL_WITHIN = 2.0  # a caller waits for a second; one that has finished no call by now is closed
 HEAD_MOST = 8 * 1024
@@ -19,8 +21,20 @@
 class Management:
     """Answers with what its two sources say at that moment."""
 
-    def __init__(self, ready: Callable[[], bool], figures: Callable[[], dict[str, Any]], most: int) -> None:
-        self._ready, self._figures, self._most = ready, figures, most
+    def __init__(
+        self,
+        ready: Callable[[], bool],
+        figures: Callable[[], dict[str, Any]],
+        metrics: Callable[[], bytes],
+        most: int,
+    ) -> None:
+        self._ready, self._figures, self._metrics, self._most = ready, figures, metrics, most
+        self._calls: dict[bytes, tuple[bytes, Callable[[bytes], bytes]]] = {
+            b"/api/ready": (b"GET", self._tell_ready),
+            b"/api/telemetry": (b"GET", self._tell_figures),
+            b"/metrics": (b"GET", self._tell_metrics),
+            b"/api/log": (b"POST", self._set_log),
+        }
         self._callers: dict[Caller, None] = {}
 
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> asyncio.Server:
@@ -34,16 +48,33 @@
     def closed(self, caller: Caller) -> None:
         self._callers.pop(caller, None)
 
-    def answer(self, method: bytes, path: bytes) -> bytes:
-        if path not in (b"/api/ready", b"/api/telemetry"):
+    def answer(self, method: bytes, url: bytes) -> bytes:
+        path, _, query = url.partition(b"?")
+        if path not in self._calls:
             return _plain(404, b"no such call")
-        if method != b"GET":
-            return reply(405, [(b"Allow", b"GET")], b"only GET is served\n", close=True)
-        if path == b"/api/ready":
-            return _plain(200, b"ready") if self._ready() else _plain(503, b"not ready")
+        needed, call = self._calls[path]
+        if method != needed:
+            return reply(405, [(b"Allow", needed)], b"only %s is served\n" % needed, close=True)
+        return call(query)
+
+    def _tell_ready(self, query: bytes) -> bytes:
+        return _plain(200, b"ready") if self._ready() else _plain(503, b"not ready")
+
+    def _tell_figures(self, query: bytes) -> bytes:
         body = msgspec.json.encode(self._figures())
         return reply(200, [(b"Content-Type", b"application/json")], body, close=True)
 
+    def _tell_metrics(self, query: bytes) -> bytes:
+        return reply(200, [(b"Content-Type", CONTENT_TYPE)], self._metrics(), close=True)
+
+    def _set_log(self, query: bytes) -> bytes:
+        """`level=debug`, or another of the levels, until the next SIGHUP."""
+        name = query.removeprefix(b"level=").decode("ascii", "replace")
+        if name not in LEVELS:
+            return _plain(400, b"level is one of " + ", ".join(LEVELS).encode())
+        set_level(name)
+        return _plain(200, b"the log tells what is at least " + name.encode())
+
 
 class Caller(asyncio.Protocol):
     """A connection of one call."""
@@ -82,7 +113,7 @@
         self._url += url
 
     def on_message_complete(self) -> None:
-        self._say(self._management.answer(self._parser.get_method(), self._url.partition(b"?")[0]))
+        self._say(self._management.answer(self._parser.get_method(), self._url))
 
     def _say(self, answer: bytes) -> None:
         if not self._answered and self._transport is not None:
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -18,6 +18,8 @@
 from sprucenotch.node.discovery import Discovery
 from sprucenotch.node.frontend import ClientConnection, Frontend
 from sprucenotch.node.host import Clock, Host
+from sprucenotch.node.log import apply as logging_as
+from sprucenotch.node.log import event, toggle
 from sprucenotch.node.management import Management
 from sprucenotch.node.peers import Peers
 
@@ -40,13 +42,19 @@
     if config.peer_listen is not None and config.settings.peers:
         await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
     if config.mgmt is not None:
-        management = Management(lambda: frontend.ready, host.figures, config.callers_most)
+        management = Management(
+            lambda: frontend.ready,
+            host.standing.figures,
+            lambda: rendered(host),
+            config.callers_most,
+        )
         await management.listen(loop, config.mgmt)
     host.start(config.known)
     discovery = Discovery(config, host, loop)
     discovery.start()
     taken = [config]  # the file in force
     loop.add_signal_handler(signal.SIGHUP, reconfigure, taken, host, frontend, discovery)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: toggle(taken[0].log.level))
     listener = shared_listener(config.listen)
     server = await loop.create_server(lambda: ClientConnection(frontend), sock=listener, backlog=BACKLOG)
     frontend.listening = True
@@ -54,14 +62,21 @@
     # Answers close their connections from here on, so that clients leave as they are served.
     frontend.draining = True
     steer_to_successor(listener)
-    log.info("draining: %d requests are in progress", host.telemetry.in_progress)
+    event(log, logging.INFO, "draining", in_progress=host.telemetry.in_progress)
     await asyncio.sleep(ACCEPT_ON)
     server.close()
     frontend.close_idle()
     # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
     # answer are given up by the rules for them, so this ends.
     await frontend.finished()
-    log.info("drained")
+    event(log, logging.INFO, "drained")
+
+
+def rendered(host: Host) -> bytes:
+    """The metrics. Where nobody gathers them, nothing is loaded for it."""
+    from sprucenotch.node import metrics
+
+    return metrics.render(host.standing, host.budget)
 
 
 def shared_listener(address: Address) -> socket.socket:
@@ -89,7 +104,7 @@
     try:
         listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
     except OSError as problem:  # then both go on sharing them until this one's listener closes
-        log.warning("new connections cannot be steered to a successor: %s", problem)
+        event(log, logging.WARNING, "new connections cannot be steered to a successor", why=str(problem))
 
 
 def reconfigure(taken: list[Config], host: Host, frontend: Frontend, discovery: Discovery) -> None:
@@ -99,29 +114,30 @@
         fresh.check_complete(taken[0])
     except ConfigError as problem:
         host.telemetry.load_errors += 1
-        log.warning("the configuration stays as it was: %s", problem)
+        event(log, logging.WARNING, "configuration turned down", why=str(problem))
         return
     host.telemetry.loads += 1
     taken[0] = fresh
+    logging_as(fresh.log)
     frontend.retune(fresh)
     host.retune(fresh)
     discovery.retune(fresh)
-    log.info("the configuration is taken: classes %s", ", ".join(c.name for c in fresh.settings.classes))
+    event(log, logging.INFO, "configuration taken", classes=[c.name for c in fresh.settings.classes])
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
     except ConfigError as problem:
         print(f"sprucenotch: {problem}", file=sys.stderr)
         return 2
+    logging_as(config.log)
     gc.freeze()  # what is loaded by now stays: the collector need not go over it again
     try:
         uvloop.run(serve(config))
     except OSError as problem:
         print(f"sprucenotch: {problem}", file=sys.stderr)
-        return 1
+        return 3
     return 0
 
 
--- /dev/null
+++ b/sprucenotch/node/standing.py
@@ -0,0 +1,91 @@
+"""How things stand, for staff: the operators' figures, the status event, the gauges, from one place."""
+
+from __future__ import annotations
+
+import logging
+import os
+import resource
+import time
+from collections.abc import Callable
+from typing import Any
+
+from sprucenotch import api
+from sprucenotch.balance import Balancer, Member
+from sprucenotch.node.log import event
+from sprucenotch.node.telemetry import Telemetry
+from sprucenotch.node.upstream import Upstream
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+STATUS_EVERY = 1.0  # seconds between two status events: cuts and queues turn within a few
+
+
+def own_memory() -> tuple[int, int]:
+    """What this process holds, in bytes: all that is resident, and what it shares with no other."""
+    with open("/proc/self/statm", "rb") as file:
+        _, resident, shared, *_ = map(int, file.read().split())
+    return resident * resource.getpagesize(), (resident - shared) * resource.getpagesize()
+
+
+class Standing:
+    def __init__(
+        self, balancer: Balancer, telemetry: Telemetry, upstream: Upstream, now: Callable[[], int]
+    ) -> None:
+        self._balancer, self.telemetry, self.upstream, self._now = balancer, telemetry, upstream, now
+        self.lag = 0.0  # seconds by which the loop was late at the last status
+
+    def figures(self) -> dict[str, Any]:
+        """What the operators' days ask for, under the names given there."""
+        known, skipped = self.engines()
+        return self.telemetry.figures(known, skipped)
+
+    def engines(self) -> tuple[int, int]:
+        """How many are listed, and how many of these get nothing now."""
+        members = [m for m in self._balancer.members.values() if m.health != api.Health.GONE]
+        return len(members), sum(map(self._avoided, members))
+
+    def _avoided(self, member: Member) -> bool:
+        """Whether an engine that is listed gets nothing now: it drains, or is ejected and not kept for want
+        of others."""
+        if member.health != api.Health.READY:
+            return True
+        return member.out_until > self._now() and not any(member in side for side in self._balancer.subset)
+
+    def is_cold(self, endpoint: api.EndpointId) -> bool:
+        member = self._balancer.members.get(endpoint)
+        return member is not None and self._balancer.warmth(member, self._now()) < 1
+
+    def decisions(self) -> dict[str, float]:
+        """How the decisions stand: the cut and what moves it, the engines by state, the retry budget."""
+        b = self._balancer
+        ready, used = (sum(map(len, sides)) for sides in (b.order, b.subset))
+        cold = sum(self.is_cold(member.id) for side in b.order for member in side)
+        return {
+            "cut": b.cut, "cut_levels": b.top, "pressure": b.pressure, "pressure_over": b.over,
+            "crossing": b.crossing, "flying": b.flying, "peak": b.peak, "ready": ready, "cold": cold,
+            "used": used, "retry_budget": b.budget,
+        }  # fmt: skip
+
+    def process(self) -> dict[str, float]:
+        """What this process holds of its machine."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "cpu_seconds": used.ru_utime + used.ru_stime, "memory_bytes": own_memory()[0],
+            "descriptors": len(os.listdir("/proc/self/fd")),
+            "descriptors_most": resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+            "uptime_seconds": time.monotonic() - self.telemetry.began,
+        }  # fmt: skip
+
+    def status(self, lag: float) -> None:
+        """One event for on-call: what came and went since the last, and how things stand. Silent in rest."""
+        self.lag = lag
+        if grown := self.telemetry.growth():
+            b = self._balancer
+            event(
+                log, logging.INFO, "status", **dict(sorted(grown.items())),
+                ok_ms=round(self.telemetry.mean_ok() / MS, 1), in_progress=self.telemetry.in_progress,
+                connections=self.upstream.connections, lag_ms=round(lag * 1000, 1),
+                **{name: round(value, 2) for name, value in self.decisions().items()},
+                base_ms=[round(k.base / MS) for k in b.kinds], mean_ms=[round(k.mean / MS) for k in b.kinds],
+            )  # fmt: skip
--- a/sprucenotch/node/telemetry.py
+++ b/sprucenotch/node/telemetry.py
@@ -1,30 +1,82 @@
-"""The figures that staff read, counted once, where the thing happens; the status line draws on them too."""
+"""The figures that staff read, counted once, where the thing happens; log and metrics draw on them too."""
 
 from __future__ import annotations
 
+import time
+from bisect import bisect_left
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Any
 
+from sprucenotch.api import EndpointId, Outcome, RequestClass
+
+# Bounds of the latency buckets, in aims: whether answers come in time, and how near they are to missing it.
+AIMS = (1 / 16, 1 / 8, 1 / 4, 1 / 2, 3 / 4, 1, 1.5, 2)
+ENGINES_MOST = 512  # counted one by one; what is beyond goes into one
+
+
+class Histogram:
+    """Latencies of a class, in nanoseconds: how many were up to each bound, and their sum."""
+
+    def __init__(self, bounds: tuple[int, ...]) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)  # the last: beyond all bounds
+        self.sum = 0
+
+    def observe(self, took: int) -> None:
+        self.counts[bisect_left(self.bounds, took)] += 1
+        self.sum += took
+
 
 class Telemetry:
     """Counters of this process, which only grow, and the gauge of what is in progress."""
 
     def __init__(self) -> None:
+        self.began = time.monotonic()
         self.passed: Counter[str] = Counter()  # by class: served, refused and failed
         self.dropped: Counter[str] = Counter()
         self.bad_gateway: Counter[str] = Counter()
         self.upstream_tries = 0  # attempts whose last byte went out
         self.loads = self.load_errors = 0  # configuration files taken and turned down
         self.in_progress = 0
-        self.events: Counter[str] = Counter()  # what only the status line tells, such as outcomes
+        self.events: Counter[str] = Counter()  # what log and metrics tell, such as outcomes
+        self.latency: dict[str, Histogram] = {}  # of served requests, by class, from whole to answered
+        self.by_engine: dict[EndpointId, list[int]] = {}  # attempts by outcome
+        self.other_engines = [0] * len(Outcome)  # of those that left the list, or are too many
         self._told: Counter[str] = Counter()
+        self._ok_took = self._ok = 0  # since the last status
 
-    def know(self, classes: Iterable[str]) -> None:
-        """Show these classes from 0. A class once known keeps its figures."""
-        for name in classes:
+    def know(self, classes: Iterable[RequestClass]) -> None:
+        """Show these classes from 0. One once known keeps its figures; latencies begin anew with an aim."""
+        for known in classes:
             for counter in (self.passed, self.dropped, self.bad_gateway):
-                counter.setdefault(name, 0)
+                counter.setdefault(known.name, 0)
+            bounds = tuple(sorted({int(known.aim * share) for share in AIMS} | {known.limit}))
+            if known.name not in self.latency or self.latency[known.name].bounds != bounds:
+                self.latency[known.name] = Histogram(bounds)
+
+    def attempt_ended(self, engine: EndpointId, outcome: int, took: int) -> None:
+        """Count an attempt that is over, of so many nanoseconds."""
+        counts = self.by_engine.get(engine)
+        if counts is None:
+            counts = self.other_engines
+            if len(self.by_engine) < ENGINES_MOST:
+                counts = self.by_engine[engine] = [0] * len(Outcome)
+        counts[outcome] += 1
+        if outcome == Outcome.OK:
+            self._ok += 1
+            self._ok_took += took
+
+    def keep_engines(self, listed: Container[EndpointId]) -> None:
+        """Count those that are not listed any more together."""
+        for engine in [engine for engine in self.by_engine if engine not in listed]:
+            for outcome, count in enumerate(self.by_engine.pop(engine)):
+                self.other_engines[outcome] += count
+
+    def mean_ok(self) -> float:
+        """Nanoseconds that the attempts served since the last call took."""
+        took, served, self._ok_took, self._ok = self._ok_took, self._ok, 0, 0
+        return took / max(1, served)
 
     def figures(self, known: int, skipped: int) -> dict[str, Any]:
         return {
@@ -35,7 +87,7 @@
         }  # fmt: skip
 
     def growth(self) -> Counter[str]:
-        """What has grown since the last call, for the status line."""
+        """What has grown since the last call, for the status event."""
         totals = Counter(
             passed=self.passed.total(), dropped=self.dropped.total(), bad_gateway=self.bad_gateway.total(),
             tries=self.upstream_tries, loads=self.loads, load_errors=self.load_errors,
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -13,7 +13,7 @@
 import httptools
 
 from sprucenotch.api import EndpointId, Health, Outcome
-from sprucenotch.node.config import SECOND, Address, Config, Host
+from sprucenotch.node.config import SECOND, Config, Host
 from sprucenotch.node.stream import LAST_CHUNK, READ_BUFFER, STALLED, WHOLE_MOST, Stream, chunk, nothing
 
 HEAD_MOST = 32 * 1024
@@ -309,10 +309,10 @@
 class Pool:
     """What is held to one endpoint."""
 
-    __slots__ = ("dial", "health", "idle")
+    __slots__ = ("dial", "health", "idle", "name")
 
-    def __init__(self, dial: Address, health: int) -> None:
-        self.dial, self.health = dial, health
+    def __init__(self, host: Host) -> None:
+        self.name, self.dial, self.health = host.name, host.dial, host.endpoint.health
         self.idle: list[Connection] = []
 
 
@@ -444,7 +444,7 @@
             named.add(host.endpoint.id)
             pool = self._pools.get(host.endpoint.id)
             if pool is None:
-                self._pools[host.endpoint.id] = Pool(host.dial, host.endpoint.health)
+                self._pools[host.endpoint.id] = Pool(host)
                 continue
             if pool.dial != host.dial:
                 self._drop_idle(pool)
@@ -458,6 +458,15 @@
                     self._drop_idle(pool)
         self._pools = {key: pool for key, pool in self._pools.items() if pool.health != Health.GONE}
 
+    def __contains__(self, endpoint: object) -> bool:
+        """Whether it is listed, or was and drains."""
+        return endpoint in self._pools
+
+    def name(self, endpoint: EndpointId) -> str:
+        """What discovery calls it; "gone" once it is not listed any more."""
+        pool = self._pools.get(endpoint)
+        return "gone" if pool is None else pool.name
+
     def disconnect(self, endpoint: EndpointId) -> None:
         if (pool := self._pools.get(endpoint)) is not None:
             self._drop_idle(pool)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -11,7 +11,7 @@
 import pytest
 
 from sprucenotch import api
-from sprucenotch.node import config
+from sprucenotch.node import config, metrics
 from sprucenotch.node.config import ConfigError
 from sprucenotch.node.management import Management
 from tests.sidecar import (
@@ -61,7 +61,12 @@
 
 @contextlib.asynccontextmanager
 async def managed(node: Sidecar) -> AsyncIterator[Operators]:
-    management = Management(lambda: node.frontend.ready, node.host.figures, CALLERS)
+    management = Management(
+        lambda: node.frontend.ready,
+        node.host.standing.figures,
+        lambda: metrics.render(node.host.standing, node.host.budget),
+        CALLERS,
+    )
     server = await management.listen(asyncio.get_running_loop(), ("127.0.0.1", 0))
     try:
         yield Operators(server.sockets[0].getsockname()[1])
@@ -163,7 +168,7 @@
             node.host.learn(config.host_list(told, node.config.names), api.ListKind.FULL)
             node.host._probe(api.Probe(config.endpoint_id("s-1")))
             await node.event(lambda e: isinstance(e, api.Probed))
-            assert node.host.figures()["upstream_tries"] == 0
+            assert node.host.standing.figures()["upstream_tries"] == 0
 
     run(test())
 
@@ -174,12 +179,12 @@
             client = await node.client()
             client.writer.write(request(deadline="1"))
             await served.arrived.wait()
-            assert node.host.figures()["in_progress"] == 1
+            assert node.host.standing.figures()["in_progress"] == 1
             client.writer.close()
             await node.event(lambda e: isinstance(e, api.Gone))
-            assert node.host.figures()["in_progress"] == 0
+            assert node.host.standing.figures()["in_progress"] == 0
             await node.event(lambda e: isinstance(e, api.Completed))  # its attempt ends at the deadline
-            assert node.host.figures()["in_progress"] == 0
+            assert node.host.standing.figures()["in_progress"] == 0
 
     run(test())
 
@@ -192,7 +197,7 @@
             balancer = node.host._balancer
             balancer.members[config.endpoint_id("s-0")].out_until = node.host.now() + 10**12
             balancer.refill(node.host.now())
-            figures = node.host.figures()
+            figures = node.host.standing.figures()
             assert (figures["known_quote_engines"], figures["skipped_quote_engines"]) == (4, 2)
 
     run(test())
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -166,12 +166,12 @@
             taken = [node.config]
             file.write_text(broken if isinstance(broken, str) else json.dumps(broken))
             reread(node, taken)
-            figures = node.host.figures()
+            figures = node.host.standing.figures()
             assert (figures["loads"], figures["load_errors"]) == (0, 1)
             assert taken == [node.config] and not any(isinstance(e, api.Retuned) for e in node.events)
             file.write_text(json.dumps(configuration("127.0.0.1:9")))
             reread(node, taken)
-            figures = node.host.figures()
+            figures = node.host.standing.figures()
             assert (figures["loads"], figures["load_errors"]) == (1, 1)
 
     run(test())
@@ -187,7 +187,7 @@
     async def test() -> None:
         async with sidecar("127.0.0.1:9") as node:
             reread(node, [node.config])
-            assert node.host.figures()["load_errors"] == 1
+            assert node.host.standing.figures()["load_errors"] == 1
 
     run(test())
 
@@ -241,7 +241,7 @@
             assert (await coming.ask(fresh))[2] == b"fresh"
             assert (await coming.ask(request("read")))[0] == 400
             assert (await coming.ask(request("post")))[0] == 405  # safe to repeat now, so it is a GET
-            figures = node.host.figures()
+            figures = node.host.standing.figures()
             assert figures["passed"] == {"read": 1, "post": 0, "fresh": 1}
 
     run(test())
@@ -287,6 +287,6 @@
             node.frontend.retune(fresh)
             node.host.retune(fresh)
             assert (await client.ask(raw[50_000:]))[0] == 503
-            assert node.host.figures()["dropped"] == {"read": 0, "post": 1, "fresh": 0}
+            assert node.host.standing.figures()["dropped"] == {"read": 0, "post": 1, "fresh": 0}
 
     run(test())
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -25,7 +25,7 @@
     Exchange,
     Frontend,
 )
-from sprucenotch.node.host import Incoming
+from sprucenotch.node.ledger import Incoming
 from sprucenotch.node.stream import (
     ANSWER_ROOM,
     LONG_MOST,
@@ -97,7 +97,7 @@
     while node.host._open:
         await asyncio.sleep(0.01)
     assert node.host.budget.used == 0
-    assert node.host.figures()["in_progress"] == 0
+    assert node.host.standing.figures()["in_progress"] == 0
 
 
 @pytest.mark.parametrize(
@@ -132,7 +132,7 @@
                 headers = await head_of(client.reader)
                 assert await body_of(client.reader, headers) == expected
             await nothing_held(node)
-            figures = node.host.figures()
+            figures = node.host.standing.figures()
             assert figures["passed"]["post"] == figures["upstream_tries"] == 2
 
     run(test())
@@ -267,8 +267,8 @@
                     else:
                         await body_of(client.reader, headers)
             await nothing_held(node)
-            assert node.host.figures()["bad_gateway"]["read"] == 1
-            assert node.host.figures()["passed"]["read"] == 0
+            assert node.host.standing.figures()["bad_gateway"]["read"] == 1
+            assert node.host.standing.figures()["passed"]["read"] == 0
 
     run(test())
 
@@ -347,7 +347,7 @@
             client.writer.write(LONG[200_000:])  # it still sends the rest, and is understood afterwards
             assert (await client.ask(request("odd")))[0] == 400
             await nothing_held(node)
-            figures = node.host.figures()
+            figures = node.host.standing.figures()
             assert figures["upstream_tries"] == 0 and figures["dropped"]["post"] == 1
 
     run(test())
@@ -422,7 +422,7 @@
             assert (await first.answer())[0] == 200
             await nothing_held(node)
             assert (await second.ask(request()))[0] == 200
-            assert len(served.seen) == 2 and node.host.figures()["dropped"]["read"] == 1
+            assert len(served.seen) == 2 and node.host.standing.figures()["dropped"]["read"] == 1
 
     run(test())
 
