sprucenotch status and demo: a sidecar's figures, and a deployment at work on loopback

Cause: nothing showed the program at work on a new machine, and a running sidecar could be read only by curl.

--- /dev/null
+++ b/sprucenotch/cli/demo.py
@@ -0,0 +1,222 @@
+"""`sprucenotch demo`: a deployment on loopback, at work before one's eyes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+import termios
+import tty
+from collections import Counter
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import typer
+import uvloop
+from rich.console import Console, Group, RenderableType
+from rich.live import Live
+from rich.table import Table
+from rich.text import Text
+
+from sprucenotch.cli.figures import Reading, read
+from sprucenotch.cli.output import AsJson, Exit, fail, say_json
+from sprucenotch.rig.day import KINDS, LATE_MOST, Day, Plan, Second
+from sprucenotch.rig.process import RigError
+from sprucenotch.rig.trouble import TROUBLES
+
+OUTCOMES = ("served", "late", "refused", "failed")
+KEYS = {trouble.key: name for name, trouble in TROUBLES.items()}
+BAR = 7  # the most that an engine holds: one at work and six that wait
+
+
+def demo(
+    seconds: Annotated[float, typer.Option("--for", help="Stop after so many seconds.", min=3, max=600)] = 30,
+    trouble: Annotated[
+        str, typer.Option(help=f"In the middle third: {', '.join(TROUBLES)}. Also by its key at any time.")
+    ] = "",
+    sidecars: Annotated[int, typer.Option(min=1, max=8)] = 2,
+    engines: Annotated[int, typer.Option(min=3, max=30)] = 6,
+    load: Annotated[float, typer.Option(help="Of what the engines can do.", min=0.05, max=3)] = 0.6,
+    seed: Annotated[int, typer.Option(help="Of arrivals and work.")] = 1,
+    as_json: AsJson = False,
+) -> None:
+    """Start engines, discovery, real sidecars and clients on loopback; show how they do; stop by itself."""
+    if trouble and trouble not in TROUBLES:
+        fail(Exit.BAD_INPUT, f"no such trouble: {trouble!r}; there are {', '.join(TROUBLES)}")
+    plan = Plan(seconds, sidecars, engines, load, trouble, seed)
+    try:
+        day = uvloop.run(_play(plan, live=not as_json and sys.stdout.isatty(), quiet=as_json))
+    except (RigError, OSError) as problem:
+        fail(Exit.BAD_INPUT, str(problem))
+    if as_json:
+        say_json(_summary(day))
+    else:
+        print(_closing(day))
+    if day.interrupted:
+        raise typer.Exit(Exit.INTERRUPTED)
+
+
+async def _play(plan: Plan, live: bool, quiet: bool) -> Day:
+    day = Day(plan)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, day.interrupt)
+    if quiet:
+        await day.play(lambda second: None)
+    elif live:
+        shown = Live(Text("starting ..."), console=Console(), auto_refresh=False)
+        with shown, _keys(day):
+            readings: list[Reading | None] = [None] * plan.sidecars
+            pending: set[asyncio.Task[None]] = set()
+
+            async def look(second: Second) -> None:
+                for number, sidecar in enumerate(day.sidecars):
+                    with contextlib.suppress(OSError, ValueError):  # the one before stays in view
+                        readings[number] = await asyncio.to_thread(read, sidecar.mgmt)
+                shown.update(view(day, second, readings), refresh=True)
+
+            def each_second(second: Second) -> None:
+                task = asyncio.get_running_loop().create_task(look(second))
+                pending.add(task)
+                task.add_done_callback(pending.discard)
+
+            await day.play(each_second)
+            await asyncio.gather(*pending)
+    else:
+        await day.play(lambda second: print(_line(day, second), flush=True))
+    return day
+
+
+@contextlib.contextmanager
+def _keys(day: Day) -> Iterator[None]:
+    """Keys turn troubles on and off; q ends the day."""
+    if not sys.stdin.isatty():
+        yield
+        return
+    pending: set[asyncio.Task[None]] = set()
+    loop, before = asyncio.get_running_loop(), termios.tcgetattr(sys.stdin)
+
+    def pressed() -> None:
+        key = sys.stdin.read(1)
+        if key == "q":
+            day.stopped.set()
+        elif (name := KEYS.get(key)) is not None:
+            task = loop.create_task(day.troubles.turn(name, name not in day.troubles.on))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+
+    tty.setcbreak(sys.stdin)
+    loop.add_reader(sys.stdin, pressed)
+    try:
+        yield
+    finally:
+        loop.remove_reader(sys.stdin)
+        termios.tcsetattr(sys.stdin, termios.TCSADRAIN, before)
+
+
+def _shares(ended: Counter[tuple[str, str]], cls: str | None = None) -> tuple[int, dict[str, float]]:
+    """How many ended, and the share of each outcome."""
+    counts = Counter[str]()
+    for (name, outcome), count in ended.items():
+        if cls in (None, name):
+            counts[outcome] += count
+    total = counts.total()
+    return total, {outcome: counts[outcome] / max(1, total) for outcome in OUTCOMES}
+
+
+def _line(day: Day, second: Second) -> str:
+    asked, shares = _shares(second.ended)
+    told = ", ".join(f"{outcome} {share:.0%}" for outcome, share in shares.items())
+    troubles = f"; trouble: {', '.join(sorted(day.troubles.on))}" if day.troubles.on else ""
+    return f"{second.at:3.0f} s  {asked:4d} requests: {told}{troubles}"
+
+
+def _summary(day: Day) -> dict[str, Any]:
+    return {
+        "classes": {kind.name: _counts(day, kind.name) for kind in KINDS}, "load_late_s": round(day.late, 3),
+        "held_back": day.held_back, "seed": day.plan.seed, "trouble": day.plan.trouble,
+    }  # fmt: skip
+
+
+def _counts(day: Day, cls: str) -> dict[str, int]:
+    return {outcome: day.total[cls, outcome] for outcome in OUTCOMES}
+
+
+def _closing(day: Day) -> str:
+    lines = ["all in all:"]
+    for kind in KINDS:
+        asked, shares = _shares(day.total, kind.name)
+        told = ", ".join(f"{outcome} {share:.1%}" for outcome, share in shares.items())
+        lines.append(f"  {kind.name}: {asked} requests, {told}")
+    if day.late > LATE_MOST:
+        lines.append(f"  this machine was too slow for the load: it lagged by up to {day.late:.2f} s")
+    return "\n".join((*lines, "everything that was started is stopped"))
+
+
+def view(day: Day, second: Second, readings: list[Reading | None]) -> RenderableType:
+    on = ", ".join(sorted(day.troubles.on)) or "none"
+    keys = "  ".join(f"[{trouble.key}] {name}" for name, trouble in TROUBLES.items())
+    head = Text.assemble(
+        ("sprucenotch", "bold"), f"  {second.at:.0f} of {day.plan.seconds:.0f} s, ",
+        f"{day.rate:.0f} requests a second; trouble: ",
+        (on, "bold red" if day.troubles.on else "green"), f"\n{keys}  [q] quit",
+    )  # fmt: skip
+    return Group(head, _service(second), _sidecars(second, readings), _engines(day, second))
+
+
+def _table(title: str, *names: str) -> Table:
+    table = Table(title=title, title_justify="left", expand=False)
+    for number, name in enumerate(names):
+        table.add_column(name, justify="right" if number else "left")
+    return table
+
+
+def _service(second: Second) -> Table:
+    table = _table("service, as the clients saw it in this second", "class", "ended", *OUTCOMES)
+    for kind in KINDS:
+        asked, shares = _shares(second.ended, kind.name)
+        cells = [Text(f"{shares[o]:.0%}", _colour(o, shares[o])) for o in OUTCOMES]
+        table.add_row(kind.name, str(asked), *cells)
+    return table
+
+
+def _colour(outcome: str, share: float) -> str:
+    good = share > 0.95 if outcome == "served" else share < 0.05
+    return "green" if good else "yellow" if outcome in ("served", "refused") else "red"
+
+
+def _sidecars(second: Second, readings: list[Reading | None]) -> Table:
+    table = _table("sidecars", "number", "ready", "cut", "pressure", "used", "in progress", "memory", "CPU")
+    for number, reading in enumerate(readings):
+        if reading is not None:
+            table.add_row(
+                str(number), "yes" if reading.ready else "no",
+                f"{reading.gauge('cut'):.0f}/{reading.gauge('cut_levels'):.0f}",
+                f"{reading.gauge('pressure'):.2f}",
+                f"{reading.samples.get(('engines', ('used',)), 0):.0f} engines",
+                str(reading.telemetry["in_progress"]),
+                f"{reading.gauge('resident_memory_bytes') / 1e6:.0f} MB",
+                f"{second.cpu[number]:.1%}",
+            )  # fmt: skip
+    return table
+
+
+def _engines(day: Day, second: Second) -> Table:
+    table = _table("engines", "engine", "zone", "state", "served", "holds")
+    table.columns[-1].justify = "left"
+    for engine, served in zip(day.fleet.engines, second.served, strict=True):
+        state = (
+            "dead"
+            if not engine.up
+            else "failing"
+            if engine.failing
+            else "slow"
+            if engine.slower > 1
+            else "up"
+        )
+        holds = Text("█" * engine.busy, "cyan") + Text("█" * (engine.held - engine.busy), "yellow")
+        holds += Text("·" * max(0, BAR - engine.held), "dim")
+        table.add_row(
+            engine.name, engine.zone, Text(state, "" if state == "up" else "red"), str(served), holds
+        )
+    return table
--- a/sprucenotch/cli/main.py
+++ b/sprucenotch/cli/main.py
@@ -11,14 +11,18 @@
 
 from sprucenotch import __version__
 from sprucenotch.cli import config
+from sprucenotch.cli.demo import demo
 from sprucenotch.cli.output import Exit, fail
+from sprucenotch.cli.status import status
 
 app = typer.Typer(
     name="sprucenotch", no_args_is_help=True, rich_markup_mode=None, pretty_exceptions_enable=False,
     help="A load balancer that runs as a sidecar beside each client. Exit codes: 0 fine, 1 the answer is no, "
-    "2 bad input, 3 an address cannot be used.",
+    "2 bad input, 3 an address cannot be used, 130 interrupted.",
 )  # fmt: skip
 app.add_typer(config.app, name="config")
+app.command()(status)
+app.command()(demo)
 
 
 def print_version(wanted: bool) -> None:
@@ -57,7 +61,7 @@
     try:
         return int(app(standalone_mode=False) or Exit.FINE)
     except typer.Abort:
-        return 130
+        return int(Exit.INTERRUPTED)
     except Exception as problem:
         usage = getattr(problem, "format_message", None)  # click's own errors say what was typed wrong
         if usage is None:
--- a/sprucenotch/cli/output.py
+++ b/sprucenotch/cli/output.py
@@ -17,6 +17,7 @@
     NO = 1  # asked and answered: not ready, would be turned down, a rule broken
     BAD_INPUT = 2  # a wrong word, a missing or broken file, a rig that cannot start
     ADDRESS = 3  # in use, refused, or nobody answers there
+    INTERRUPTED = 130  # by Ctrl-C or SIGTERM; what was begun is stopped, and what is known is told
 
 
 AsJson: TypeAlias = Annotated[bool, typer.Option("--json", help="Print JSON, for other programs.")]
--- a/sprucenotch/rig/process.py
+++ b/sprucenotch/rig/process.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -46,6 +48,15 @@
     return int(words[1]), body
 
 
+PR_SET_PDEATHSIG = 1  # as Linux numbers it
+_libc = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """Have the kernel end this process when the rig is gone, however that ended."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+
+
 class SidecarProcess:
     """`command` runs in `cwd` with PROXY_CONFIG naming a file of its own. Use it as a context manager."""
 
@@ -65,7 +76,7 @@
         with self.log_file.open("wb") as log:
             self.process = subprocess.Popen(
                 command, cwd=cwd, env=environment | {"PROXY_CONFIG": str(self.file)},
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=end_with_parent,
             )  # fmt: skip
 
     def configure(self, told: Mapping[str, Any]) -> None:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -17,7 +19,11 @@
 from sprucenotch import settings
 from sprucenotch.config import schema, toml, units
 from sprucenotch.node import config
-from tests.sidecar import SETTINGS, configuration
+from sprucenotch.rig.day import KINDS
+from sprucenotch.rig.fleet import Fleet
+from sprucenotch.rig.process import SidecarProcess, free_address
+from sprucenotch.rig.trouble import Troubles
+from tests.sidecar import SETTINGS, configuration, run
 
 ROOT = Path(__file__).parent.parent
 EXAMPLE = ROOT / "deploy" / "example.toml"
@@ -128,3 +134,52 @@
     done = subprocess.run((sys.executable, "-c", code), cwd=ROOT, capture_output=True, text=True, check=True)
     own = {f"sprucenotch.{part}" for part in ("cli", "config", "rig", "sim")}
     assert not set(done.stdout.split()) & ({"typer", "rich", "tomllib", "json"} | own)
+
+
+def test_status_tells_of_a_running_sidecar_and_says_who_does_not_answer() -> None:
+    told = configuration("127.0.0.1:9", listen=free_address(), mgmt=free_address())
+    with SidecarProcess(told) as process:
+        asyncio.run(process.ready())
+        code, said, _ = typed("status", "--json", process.mgmt)
+        reading = json.loads(said)
+        assert (code, reading["ready"], reading["telemetry"]["known_quote_engines"]) == (0, True, 1)
+        assert reading["metrics"]["engines/known"] == 1
+        code, said, _ = typed("status", process.mgmt)
+        assert code == 0 and "ready" in said and "post" in said
+    ended, _, complaint = typed("status", process.mgmt)
+    assert ended == 3 and complaint.startswith(f"sprucenotch: nobody answers at {process.mgmt}")
+
+
+def test_an_address_in_use_is_one_plain_line_and_a_code_of_its_own(file: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        told = json.loads(file.read_text()) | {"listen": f"127.0.0.1:{taken.getsockname()[1]}"}
+        file.write_text(json.dumps(told))
+        ended, said, complaint = typed("serve", str(file))
+    assert (ended, said) == (3, "") and "in use" in complaint and "Traceback" not in complaint
+
+
+def test_the_demo_plays_its_day_and_stops_by_itself() -> None:
+    code, said, _ = typed("demo", "--for", "3", "--json", "--trouble", "errors", "--load", "0.4")
+    told = json.loads(said)
+    assert code == 0 and set(told["classes"]) == {"price-check", "place-order"}
+    assert all(outcomes["served"] > 0 for outcomes in told["classes"].values())
+
+
+def test_each_trouble_befalls_engines_of_its_own_and_ends_without_a_trace() -> None:
+    async def test() -> None:
+        fleet = Fleet(KINDS, engines=6)
+        await fleet.start()
+        troubles = Troubles(fleet)
+        await troubles.turn("slow", True)
+        await troubles.turn("dead", True)
+        await troubles.turn("surge", True)
+        states = [(e.up, e.slower > 1) for e in fleet.engines]
+        assert (states.count((True, True)), states.count((False, False)), troubles.load) == (2, 2, 3.0)
+        for name in ("slow", "dead", "surge"):
+            await troubles.turn(name, False)
+        assert all(e.up and e.slower == 1 for e in fleet.engines) and troubles.load == 1.0
+        fleet.stop()
+
+    run(test())
