A sidecar is ready once discovery finds its last list the newest

Symptom: demo's sidecars, whose discovery is pushed and answers at once, were ready only after 3.1 s, by their patience. Cause: an answer that held nothing new (an empty change, or the whole list at the version in hand) was passed over where discovery is pushed, so the host never learned that its list had been confirmed. Ruled out: a slow start (0.3 s to listen) and a late answer (the watch is held 0.25 s). Change: such an answer confirms the list. Where discovery is asked, empty changes were passed on before, as they are now; there the first call is spread over 4 s by the decisions, which is another cause and stays open. The tests fail without the change.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -122,8 +122,10 @@
             if not self._pushed:
                 # The decisions wait for an answer to their call, even for an empty one.
                 self._host.learn(told, api.ListKind.DELTA)
+            self._host.confirm()
             return False
         if told.whole and told.seq == self._seq and self._pushed:
+            self._host.confirm()
             return False
         self._seq = told.seq
         self._host.learn(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -108,6 +108,10 @@
         self.telemetry.keep_engines(self.upstream)
         self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
 
+    def confirm(self) -> None:
+        """Discovery has answered that the list in hand is the newest."""
+        self._told = True
+
     @property
     def informed(self) -> bool:
         """Whether engines are known, by a list from discovery unless that is long in coming."""
--- a/sprucenotch/rig/fleet.py
+++ b/sprucenotch/rig/fleet.py
@@ -62,7 +62,7 @@
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
             "settings": {
                 "Azs": list(self.zones), "Zone": number % len(self.zones), "Kinds": [],
-                "NInstances": sidecars, "Position": number, "Discovery": "on_request",
+                "NInstances": sidecars, "Position": number, "Discovery": "pushed",
                 "Categories": [self._category(kind) for kind in self.kinds],
                 "Limits": {"MaxAttempts": 3, "Cancel": True, "Probes": True, "RetryAfter": True,
                            "MaxRetryAfterNs": SECOND, "ConnectTimeoutNs": SECOND // 5,
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -137,17 +137,22 @@
 
 
 def test_status_tells_of_a_running_sidecar_and_says_who_does_not_answer() -> None:
-    told = configuration("127.0.0.1:9", listen=free_address(), mgmt=free_address())
-    with SidecarProcess(told) as process:
-        asyncio.run(process.ready())
-        code, said, _ = typed("status", "--json", process.mgmt)
-        reading = json.loads(said)
-        assert (code, reading["ready"], reading["telemetry"]["known_quote_engines"]) == (0, True, 1)
-        assert reading["metrics"]["engines/known"] == 1
-        code, said, _ = typed("status", process.mgmt)
-        assert code == 0 and "ready" in said and "post" in said
-    ended, _, complaint = typed("status", process.mgmt)
-    assert ended == 3 and complaint.startswith(f"sprucenotch: nobody answers at {process.mgmt}")
+    async def test() -> None:
+        fleet = Fleet(KINDS, engines=3)
+        await fleet.start()
+        with SidecarProcess(fleet.configuration(0, 1, free_address(), free_address())) as process:
+            await process.ready()
+            code, said, _ = await asyncio.to_thread(typed, "status", "--json", process.mgmt)
+            told = json.loads(said)
+            assert (code, told["ready"], told["telemetry"]["known_quote_engines"]) == (0, True, 3)
+            assert told["metrics"]["engines/known"] == 3
+            code, said, _ = await asyncio.to_thread(typed, "status", process.mgmt)
+            assert code == 0 and "ready" in said and "place-order" in said
+        fleet.stop()
+        ended, _, complaint = typed("status", process.mgmt)
+        assert ended == 3 and complaint.startswith(f"sprucenotch: nobody answers at {process.mgmt}")
+
+    run(test())
 
 
 def test_an_address_in_use_is_one_plain_line_and_a_code_of_its_own(file: Path) -> None:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -102,6 +102,19 @@
     run(test())
 
 
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_list_that_discovery_finds_the_newest_makes_ready_at_once(whole: bool) -> None:
+    async def test() -> None:
+        async with sidecar(dead_dial()) as node:
+            node.frontend.listening = True
+            assert not node.frontend.ready
+            hosts = node.config.known.hosts if whole else ()
+            node.discovery._take(config.HostList(node.config.known.seq, whole, hosts))
+            assert node.frontend.ready
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("raw", "code"),
     [
