--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -3,21 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import select
 import socket
 import struct
 from collections import deque
-from hashlib import blake2b
 from http import HTTPStatus
 from typing import NoReturn, cast
 
 import httptools
 
-from sprucenotch import api
-from sprucenotch.node.config import SECOND, Config
+from sprucenotch.node.config import Config
+from sprucenotch.node.exchange import Exchange
+from sprucenotch.node.head import BadRequest, HeadRules, head
 from sprucenotch.node.host import Host
 from sprucenotch.node.ledger import Incoming
+from sprucenotch.node.patience import Patience
 from sprucenotch.node.stream import (
     ANSWER_ROOM,
     LAST_CHUNK,
@@ -32,93 +32,8 @@
 from sprucenotch.node.upstream import BLANKS, HEAD_MOST, Answer, Headers
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
-# A client may take 2 s for a head and send its body at 64 kB a second; a peer that sends no whole request is
-# owed an error or a close within 3 s. So a head has more than the one and less than the other, and a body is
-# judged only once its peer was waited for that long: by its pauses, and by its rate, which may lag a second.
-HEAD_WITHIN = 2.5
-JUDGED_FROM = 2.7
-PAUSE_MOST = 1.1  # seconds without a byte
-RATE_LEAST, RATE_LAG = 48_000, 1.0  # bytes a second, from so long after the head
 TICK = 0.25  # how often a peer that is waited for is looked at
 LINGER = 2.0  # after the last answer, for what the client still sends: a close would destroy the answer
-# What concerns one connection only, or is written anew.
-HOP_BY_HOP = frozenset(
-    (
-        b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-        b"upgrade", b"content-length", b"expect",
-    )
-)  # fmt: skip
-SERVER_ONLY = HOP_BY_HOP | {b"srv-load", b"srv-declined"}
-CLIENT_ONLY = HOP_BY_HOP | {b"req-deadline"}
-CLOSE = b"Connection: close"
-METHODS = {
-    api.Effect.SAFE: (b"GET", False),
-    api.Effect.KEYED: (b"POST", True),
-    api.Effect.UNSAFE: (b"POST", False),
-}
-
-
-class BadRequest(Exception):
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status, self.why = status, why
-
-
-def head(status: int, headers: Headers, length: int | None, *ending: bytes) -> bytes:
-    """The head of an answer; a length of None leaves the framing to the ending lines."""
-    lines = [b"HTTP/1.1 %d %s" % (status, HTTPStatus(status).phrase.encode())]
-    lines += [b"%s: %s" % header for header in headers]
-    if length is not None:
-        lines.append(b"Content-Length: %d" % length)
-    return b"\r\n".join((*lines, *ending, b"\r\n"))
-
-
-def reply(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
-    return head(status, headers, len(body), *([CLOSE] if close else [])) + body
-
-
-class Exchange:
-    """A request of a connection and its answer, which goes out in its turn."""
-
-    __slots__ = ("_connection", "answer", "id", "last", "old", "upload")
-
-    def __init__(self, connection: ClientConnection, last: bool, old: bool) -> None:
-        self._connection, self.last = connection, last
-        self.old = old  # HTTP/1.0: knows no chunks, and takes a connection as closed unless told
-        self.id = 0  # the host's; 0: answered here
-        self.answer: Answer | None = None
-        self.upload: Stream | None = None
-
-    def put(self, answer: Answer) -> None:
-        self.answer = answer
-        if self.upload is not None:
-            self.upload.drop()  # whatever of the body still comes
-        self._connection.flush()
-
-    def say(self, status: int, text: bytes, headers: Headers | None = None) -> None:
-        self.put(Answer(status, headers or [], text + b"\n"))
-
-    def serve(self, answer: Answer) -> None:
-        kept = [h for h in answer.headers if h[0] not in SERVER_ONLY]
-        self.put(Answer(200, kept, answer.body, answer.rest))
-
-    def refuse(self, stay_away: int) -> None:
-        headers = [(b"Retry-After", b"%.3f" % (stay_away / SECOND))] if stay_away else []
-        self.say(503, b"refused; trying again is harmless", headers)
-
-    def fail(self, timed_out: bool) -> None:
-        self.say(504 if timed_out else 502, b"failed; it may have run")
-
-    def framing(self, answer: Answer, close: bool) -> list[bytes]:
-        """The lines that tell the client where the answer and the connection end."""
-        lines = []
-        if answer.rest is not None and answer.rest.length is None and not self.old:
-            lines.append(b"Transfer-Encoding: chunked")
-        if close:
-            lines.append(CLOSE)
-        elif self.old:
-            lines.append(b"Connection: keep-alive")
-        return lines
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -138,7 +53,7 @@
         self._fresh = True  # no request has come yet
         self._overdue: asyncio.TimerHandle | None = None  # while a request is awaited or has come in part
         self._stalled: asyncio.TimerHandle | None = None  # while the client does not read, or after the end
-        self._spent = self._quiet = 0.0  # seconds that the request, and any byte of it, was waited for
+        self._patience = Patience()
         self._begin()
 
     @property
@@ -212,7 +127,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self._ended:
             return
-        self._quiet = 0.0
+        self._patience.heard()
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -227,7 +142,7 @@
     # ---- waiting for the client
 
     def _await_request(self) -> None:
-        self._spent = self._headed_at = self._quiet = 0.0
+        self._patience = Patience()
         self._overdue = self.frontend.loop.call_later(TICK, self._tick)
 
     def _in_time(self) -> None:
@@ -240,16 +155,7 @@
         self._overdue = self.frontend.loop.call_later(TICK, self._tick)
         if self._stopped or self._unread():  # the wait is ours, not the peer's
             return
-        self._spent += TICK
-        self._quiet += TICK
-        if not self._headed:
-            self._headed_at = self._spent
-            if self._spent < HEAD_WITHIN:
-                return
-        elif self._spent < JUDGED_FROM or (
-            self._quiet <= PAUSE_MOST
-            and self._size >= RATE_LEAST * (self._spent - self._headed_at - RATE_LAG)
-        ):
+        if not self._patience.over(TICK, self._headed, self._size):
             return
         self._in_time()
         if self._reading:
@@ -294,7 +200,7 @@
         self._give_room_back()
         exchange = self._exchange
         if exchange is None:
-            exchange = Exchange(self, last=True, old=False)
+            exchange = Exchange(self.flush, last=True, old=False)
             self._exchanges.append(exchange)
         exchange.last = True
         if exchange.answer is None:
@@ -428,7 +334,7 @@
     def on_headers_complete(self) -> None:
         self._headed = True
         old = self._parser.get_http_version() == "1.0"
-        exchange = Exchange(self, not self._parser.should_keep_alive(), old)
+        exchange = Exchange(self.flush, not self._parser.should_keep_alive(), old)
         self._exchange = exchange
         self._exchanges.append(exchange)
         if self._parser.should_upgrade():  # what follows would not be HTTP
@@ -457,7 +363,7 @@
         """
         method = self._parser.get_method()
         try:
-            self._incoming = self.frontend.check(method, self._url, self._headers, told)
+            self._incoming = self.frontend.rules.check(method, self._url, self._headers, told)
         except BadRequest as error:
             self._turn_away(exchange, error)
             return
@@ -508,7 +414,7 @@
             return
         self._body += body
         if exchange.upload is None and self._size > WHOLE_MOST and self._incoming is not None:
-            if not self.frontend.knows(self._incoming.cls):
+            if not self.frontend.rules.knows(self._incoming.cls):
                 self._fault(400, "Req-Kind is no longer known")
             self._start_upload(exchange, self._incoming, None)
 
@@ -533,7 +439,7 @@
             self.frontend.host.uploaded(exchange.id)
             self._pass_on(exchange)
             exchange.upload.finish(True)
-        elif incoming is not None and not self.frontend.knows(incoming.cls):
+        elif incoming is not None and not self.frontend.rules.knows(incoming.cls):
             self._give_room_back()
             self._turn_away(exchange, BadRequest(400, "Req-Kind is no longer known"))
         elif incoming is not None:
@@ -562,11 +468,7 @@
 
     def retune(self, config: Config) -> None:
         """Take up other settings, by which the heads to come are checked."""
-        self._classes = {c.name.encode(): c for c in config.settings.classes}
-        self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
-
-    def knows(self, cls: str) -> bool:
-        return cls.encode() in self._classes
+        self.rules = HeadRules(config.settings)
 
     def opened(self, connection: ClientConnection) -> None:
         if len(self._connections) >= self._most:
@@ -597,63 +499,3 @@
         while self._connections:
             self._drained.clear()
             await self._drained.wait()
-
-    def check(self, method: bytes, url: bytes, headers: Headers, told: dict[bytes, bytes]) -> Incoming:
-        """What the head of a request says, or BadRequest."""
-        cls = self._classes.get(told.get(b"req-kind", b""))
-        if cls is None:
-            raise BadRequest(400, "Req-Kind is missing or unknown")
-        if not told.get(b"req-id"):
-            raise BadRequest(400, "Req-Id is missing")
-        expected, keyed = METHODS[cls.effect]
-        if method != expected:
-            raise BadRequest(405, "the method does not fit the class")
-        if keyed and not told.get(b"idempotency-key"):
-            raise BadRequest(400, "Idempotency-Key is missing")
-        tenant = 0
-        if self._tenants:
-            owner = self._tenants.get(told.get(b"req-owner", b""))
-            if owner is None:
-                raise BadRequest(400, "Req-Owner is missing or unknown")
-            tenant = owner
-        return Incoming(
-            cls=cls.name,
-            tenant=tenant,
-            key=request_key(url),
-            deadline=deadline(told.get(b"req-deadline")),
-            hint=hint(told.get(b"req-cost")),
-            repeat=told.get(b"req-retry") == b"1",
-            head=forward(method, url, headers),
-            body=b"",
-        )
-
-
-def request_key(url: bytes) -> int:
-    """What the request is about, as a number that is the same at every sidecar; 0: nothing."""
-    _, _, query = url.partition(b"?")
-    for part in query.split(b"&"):
-        if part.startswith(b"k=") and len(part) > 2:
-            return int.from_bytes(blake2b(part[2:], digest_size=8).digest(), "little") or 1
-    return 0
-
-
-def deadline(text: bytes | None) -> int:
-    try:
-        seconds = float(text or b"")
-    except ValueError:
-        seconds = math.nan
-    if not 0 < seconds < 3600:
-        raise BadRequest(400, "Req-Deadline is missing or makes no sense")
-    return int(seconds * SECOND)
-
-
-def hint(text: bytes | None) -> int:
-    """A guess at the work. One that makes no sense is no guess."""
-    return int(text) * 1000 if text and text.isdigit() and len(text) < 13 else 0
-
-
-def forward(method: bytes, url: bytes, headers: Headers) -> bytes:
-    """The head of the request as it goes on, short of its framing, the deadline and the empty line."""
-    lines = [b"%s %s HTTP/1.1" % (method, url)]
-    lines += [b"%s: %s" % header for header in headers if header[0].lower() not in CLIENT_ONLY]
-    return b"\r\n".join(lines) + b"\r\n"
--- a/sprucenotch/node/management.py
+++ b/sprucenotch/node/management.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from sprucenotch.node.config import Address
-from sprucenotch.node.frontend import reply
+from sprucenotch.node.head import reply
 from sprucenotch.node.log import LEVELS, set_level
 from sprucenotch.node.metrics import CONTENT_TYPE
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -16,16 +16,10 @@
 from sprucenotch import api
 from sprucenotch.api import Outcome
 from sprucenotch.node import config
-from sprucenotch.node.frontend import (
-    HEAD_WITHIN,
-    JUDGED_FROM,
-    RATE_LEAST,
-    TICK,
-    ClientConnection,
-    Exchange,
-    Frontend,
-)
+from sprucenotch.node.exchange import Exchange
+from sprucenotch.node.frontend import TICK, ClientConnection, Frontend
 from sprucenotch.node.ledger import Incoming
+from sprucenotch.node.patience import HEAD_WITHIN, JUDGED_FROM, RATE_LEAST
 from sprucenotch.node.stream import (
     ANSWER_ROOM,
     LONG_MOST,
