Load the metrics only when asked for them; values of api and config are msgspec structs

Cause: the management listener imported metrics.py for one constant, which undid its loading at the first call; and api and config alone brought in dataclasses. Ruled out: gc.collect before the freeze (0.05 MB), xxhash for hashlib (1.3 MB more).

--- a/sprucenotch/api.py
+++ b/sprucenotch/api.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import NamedTuple, TypeAlias
 
+from msgspec import Struct
+
 EndpointId: TypeAlias = bytes
 
 
@@ -52,8 +53,7 @@
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 
 
-@dataclass(frozen=True, slots=True)
-class RequestClass:
+class RequestClass(Struct, frozen=True):
     name: str
     aim: int  # an answer within this time earns the full worth
     limit: int  # all the time a client waits, over its tries
@@ -65,14 +65,12 @@
     aim_stretch: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
+class Tenant(Struct, frozen=True):
     name: str
     quota_per_s: float  # over all sidecars
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(Struct, frozen=True):
     classes: tuple[RequestClass, ...]
     instance: int = 0  # this sidecar's number
     instances: int = 1  # how many sidecars there are
--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -5,11 +5,11 @@
 import math
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any, TypeAlias
 
 import msgspec
+from msgspec import Struct
 
 from sprucenotch import api, settings
 from sprucenotch.settings import Log
@@ -30,8 +30,7 @@
     """The configuration is missing or makes no sense."""
 
 
-@dataclass(frozen=True, slots=True)
-class Host:
+class Host(Struct, frozen=True):
     """An entry of a list of endpoints."""
 
     endpoint: api.Endpoint
@@ -39,23 +38,20 @@
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class HostList:
+class HostList(Struct, frozen=True):
     seq: int
     whole: bool
     hosts: tuple[Host, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Names:
+class Names(Struct, frozen=True):
     """Positions in the settings, by name."""
 
     zones: Mapping[str, int]
     kinds: Mapping[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
+class Config(Struct, frozen=True):
     name: str
     listen: Address
     discovery: Address
--- a/sprucenotch/node/management.py
+++ b/sprucenotch/node/management.py
@@ -12,10 +12,10 @@
 from sprucenotch.node.config import Address
 from sprucenotch.node.head import reply
 from sprucenotch.node.log import LEVELS, set_level
-from sprucenotch.node.metrics import CONTENT_TYPE
 
 CALL_WITHIN = 2.0  # a caller waits for a second; one that has finished no call by now is closed
 HEAD_MOST = 8 * 1024
+OPENMETRICS = b"application/openmetrics-text; version=1.0.0; charset=utf-8"
 
 
 class Management:
@@ -65,7 +65,7 @@
         return reply(200, [(b"Content-Type", b"application/json")], body, close=True)
 
     def _tell_metrics(self, query: bytes) -> bytes:
-        return reply(200, [(b"Content-Type", CONTENT_TYPE)], self._metrics(), close=True)
+        return reply(200, [(b"Content-Type", OPENMETRICS)], self._metrics(), close=True)
 
     def _set_log(self, query: bytes) -> bytes:
         """`level=debug`, or another of the levels, until the next SIGHUP."""
--- a/sprucenotch/node/metrics.py
+++ b/sprucenotch/node/metrics.py
@@ -11,7 +11,6 @@
 from sprucenotch.node.standing import Standing
 from sprucenotch.node.stream import Budget
 
-CONTENT_TYPE = b"application/openmetrics-text; version=1.0.0; charset=utf-8"
 SECOND = 1_000_000_000
 OUTCOMES = [outcome.name.lower() for outcome in Outcome]
 GAUGES = {
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -132,7 +132,7 @@
 def test_the_sidecar_itself_imports_neither_the_command_line_nor_the_rig() -> None:
     code = "import sys, sprucenotch.__main__, sprucenotch.node.serve; print(*sys.modules)"
     done = subprocess.run((sys.executable, "-c", code), cwd=ROOT, capture_output=True, text=True, check=True)
-    own = {f"sprucenotch.{part}" for part in ("cli", "config", "rig", "sim")}
+    own = {f"sprucenotch.{part}" for part in ("cli", "config", "rig", "sim", "node.metrics")}
     assert not set(done.stdout.split()) & ({"typer", "rich", "tomllib", "json"} | own)
 
 
