A header is judged and written on once, as it comes

Cause: each header was lowered for the look-up, lowered again for what goes on, and formatted in a third pass; status lines and outcome names were made anew for each request. Change: on_header does all three once; the fixed texts are tables.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -14,7 +14,7 @@
 
 from sprucenotch.node.config import Config
 from sprucenotch.node.exchange import Exchange
-from sprucenotch.node.head import BadRequest, HeadRules, head
+from sprucenotch.node.head import CLIENT_ONLY, BadRequest, HeadRules, head
 from sprucenotch.node.host import Host
 from sprucenotch.node.ledger import Incoming
 from sprucenotch.node.patience import Patience
@@ -29,7 +29,7 @@
     Stream,
     chunk,
 )
-from sprucenotch.node.upstream import BLANKS, HEAD_MOST, Answer, Headers
+from sprucenotch.node.upstream import BLANKS, HEAD_MOST, Answer
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 TICK = 0.25  # how often a peer that is waited for is looked at
@@ -84,7 +84,8 @@
 
     def _begin(self) -> None:
         self._url = b""
-        self._headers: Headers = []
+        self._told: dict[bytes, bytes] = {}  # the headers, by name in lower case
+        self._lines: list[bytes] = []  # those that go on, as they came
         self._body = bytearray()  # held, or on its way to the stream: one write for all that came at once
         self._head_size = self._size = 0  # with the trailers, and of the body
         self._error: BadRequest | None = None
@@ -181,10 +182,8 @@
     def _steer_reading(self) -> None:
         """Pause or go on reading. A body under way is read, or thrown away, whatever becomes of the answers:
         a client may well write all of it before it reads."""
-        if self._transport is None or self._transport.is_closing():
-            return
         stop = not self._ended and (self._held if self._headed else self._full)
-        if stop != self._stopped:
+        if stop != self._stopped and self._transport is not None and not self._transport.is_closing():
             self._stopped = stop
             if stop:
                 self._transport.pause_reading()
@@ -329,7 +328,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow_head(len(name) + len(value), 431)
         if not self._headed:  # else it is a trailer, and no header by which a request could be told
-            self._headers.append((name, value.rstrip(BLANKS)))  # which the parser leaves at the end
+            known, value = name.lower(), value.rstrip(BLANKS)  # which the parser leaves at the end
+            self._told[known] = value
+            if known not in CLIENT_ONLY:
+                self._lines.append(b"%s: %s" % (name, value))
 
     def on_headers_complete(self) -> None:
         self._headed = True
@@ -339,7 +341,7 @@
         self._exchanges.append(exchange)
         if self._parser.should_upgrade():  # what follows would not be HTTP
             self._fault(400, "upgrades are not served")
-        told = {name.lower(): value for name, value in self._headers}
+        told = self._told
         coding = told.get(b"transfer-encoding")
         if coding is not None and coding.lower() != b"chunked":  # which would be lost on the way
             self._fault(400, "only chunks are known as a transfer coding")
@@ -363,7 +365,7 @@
         """
         method = self._parser.get_method()
         try:
-            self._incoming = self.frontend.rules.check(method, self._url, self._headers, told)
+            self._incoming = self.frontend.rules.check(method, self._url, self._lines, told)
         except BadRequest as error:
             self._turn_away(exchange, error)
             return
--- a/sprucenotch/node/head.py
+++ b/sprucenotch/node/head.py
@@ -21,6 +21,7 @@
 SERVER_ONLY = HOP_BY_HOP | {b"srv-load", b"srv-declined"}
 CLIENT_ONLY = HOP_BY_HOP | {b"req-deadline"}
 CLOSE = b"Connection: close"
+STATUS_LINES = {s.value: f"HTTP/1.1 {s.value} {s.phrase}".encode() for s in HTTPStatus}
 METHODS = {
     api.Effect.SAFE: (b"GET", False),
     api.Effect.KEYED: (b"POST", True),
@@ -36,7 +37,7 @@
 
 def head(status: int, headers: Headers, length: int | None, *ending: bytes) -> bytes:
     """The head of an answer; a length of None leaves the framing to the ending lines."""
-    lines = [b"HTTP/1.1 %d %s" % (status, HTTPStatus(status).phrase.encode())]
+    lines = [STATUS_LINES[status]]
     lines += [b"%s: %s" % header for header in headers]
     if length is not None:
         lines.append(b"Content-Length: %d" % length)
@@ -57,8 +58,8 @@
     def knows(self, cls: str) -> bool:
         return cls.encode() in self._classes
 
-    def check(self, method: bytes, url: bytes, headers: Headers, told: dict[bytes, bytes]) -> Incoming:
-        """What the head of a request says, or BadRequest."""
+    def check(self, method: bytes, url: bytes, lines: list[bytes], told: dict[bytes, bytes]) -> Incoming:
+        """What the head of a request says, or BadRequest. The lines are the headers that go on."""
         cls = self._classes.get(told.get(b"req-kind", b""))
         if cls is None:
             raise BadRequest(400, "Req-Kind is missing or unknown")
@@ -82,7 +83,7 @@
             deadline=deadline(told.get(b"req-deadline")),
             hint=hint(told.get(b"req-cost")),
             repeat=told.get(b"req-retry") == b"1",
-            head=forward(method, url, headers),
+            head=b"\r\n".join((b"%s %s HTTP/1.1" % (method, url), *lines, b"")),
             body=b"",
         )
 
@@ -109,10 +110,3 @@
 def hint(text: bytes | None) -> int:
     """A guess at the work. One that makes no sense is no guess."""
     return int(text) * 1000 if text and text.isdigit() and len(text) < 13 else 0
-
-
-def forward(method: bytes, url: bytes, headers: Headers) -> bytes:
-    """The head of the request as it goes on, short of its framing, the deadline and the empty line."""
-    lines = [b"%s %s HTTP/1.1" % (method, url)]
-    lines += [b"%s: %s" % header for header in headers if header[0].lower() not in CLIENT_ONLY]
-    return b"\r\n".join(lines) + b"\r\n"
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -31,6 +31,7 @@
 # A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
 # has told binds it from then on. Much later, and a replacement would not come in time.
 TOLD_WITHIN = 3 * SECOND
+OUTCOMES = tuple(outcome.name.lower() for outcome in Outcome)
 HELD_SHARE = 0.5  # of an attempt's time: later, an answer of unknown length is not held to be tried again
 
 
@@ -317,7 +318,7 @@
 
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
-        self.count(Outcome(outcome).name.lower())
+        self.count(OUTCOMES[outcome])
         for timer in (request.patience, request.haste):
             if timer is not None:
                 timer.cancel()
