One table of units, one test for a struct, one list of outcome names

Cause, found on reading the change once more: the unit of a figure was matched in four places of config/, whether a type is a struct was written out five times, host.py and metrics.py each made the outcome names, and the demo named an engine's state by a conditional nested three deep. Change: toml.MEASURES, settings.part_type, telemetry.OUTCOMES and demo._state serve all of them. Behaviour as before.

--- a/sprucenotch/cli/demo.py
+++ b/sprucenotch/cli/demo.py
@@ -22,6 +22,7 @@
 from sprucenotch.cli.figures import Reading, read
 from sprucenotch.cli.output import AsJson, Exit, fail, say_json
 from sprucenotch.rig.day import KINDS, LATE_MOST, Day, Plan, Second
+from sprucenotch.rig.engine import Engine
 from sprucenotch.rig.process import RigError
 from sprucenotch.rig.trouble import TROUBLES
 
@@ -205,18 +206,18 @@
     table = _table("engines", "engine", "zone", "state", "served", "holds")
     table.columns[-1].justify = "left"
     for engine, served in zip(day.fleet.engines, second.served, strict=True):
-        state = (
-            "dead"
-            if not engine.up
-            else "failing"
-            if engine.failing
-            else "slow"
-            if engine.slower > 1
-            else "up"
-        )
+        state = _state(engine)
         holds = Text("█" * engine.busy, "cyan") + Text("█" * (engine.held - engine.busy), "yellow")
         holds += Text("·" * max(0, BAR - engine.held), "dim")
         table.add_row(
             engine.name, engine.zone, Text(state, "" if state == "up" else "red"), str(served), holds
         )
     return table
+
+
+def _state(engine: Engine) -> str:
+    if not engine.up:
+        return "dead"
+    if engine.failing:
+        return "failing"
+    return "slow" if engine.slower > 1 else "up"
--- a/sprucenotch/config/resolve.py
+++ b/sprucenotch/config/resolve.py
@@ -37,8 +37,8 @@
             value, source = environ[variable], variable
         else:
             value, source = field.default, "default"
-        inner, entry = settings.bare(field.type), settings.entry_type(settings.bare(field.type))
-        if isinstance(inner, type) and issubclass(inner, Struct):
+        inner, entry = settings.part_type(field.type), settings.entry_type(field.type)
+        if inner is not None:
             yield from _rows(value if isinstance(value, dict) else {}, inner, below, environ)
         elif entry is not None and value:
             for number, part in enumerate(value):
--- a/sprucenotch/config/schema.py
+++ b/sprucenotch/config/schema.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from sprucenotch import settings
-from sprucenotch.config import toml, units
+from sprucenotch.config import toml
 
 DIALECT = "https://json-schema.org/draft/2020-12/schema"
 
@@ -37,14 +37,9 @@
 
 
 def _spelled(told: dict[str, Any], field: Any) -> dict[str, Any]:
-    match toml.unit(field.type):
-        case "ns":
-            known = units.NANOSECONDS
-        case "MB":
-            known = units.BYTES
-        case _:
-            return told
-    spelled = {"type": "string", "pattern": rf"^[0-9]+(\.[0-9]+)? ?({'|'.join(known)})$"}
+    if (measure := toml.MEASURES.get(toml.unit(field.type))) is None:
+        return told
+    spelled = {"type": "string", "pattern": rf"^[0-9]+(\.[0-9]+)? ?({'|'.join(measure.units)})$"}
     if told.get("default") is not None:
         spelled["default"] = toml.spell(told["default"], field.type)
     return spelled
@@ -52,10 +47,9 @@
 
 def _structs(kind: Any) -> Iterator[type[Struct]]:
     """A type and the types of its parts."""
-    inner = settings.bare(kind)
-    if isinstance(inner, type) and issubclass(inner, Struct):
+    if (inner := settings.part_type(kind)) is not None:
         yield inner
         for field in msgspec.structs.fields(inner):
             yield from _structs(field.type)
-    for part in get_args(inner):
+    for part in get_args(settings.bare(kind)):
         yield from _structs(part)
--- a/sprucenotch/config/toml.py
+++ b/sprucenotch/config/toml.py
@@ -9,7 +9,7 @@
 
 import difflib
 import tomllib
-from typing import Any, get_args
+from typing import Any, NamedTuple, get_args
 
 import msgspec
 from msgspec import Struct
@@ -18,7 +18,19 @@
 from sprucenotch.config import units
 from sprucenotch.settings import Problem, SettingsError
 
-MB = 1_000_000
+
+class Measure(NamedTuple):
+    """How a figure with a unit is written."""
+
+    units: dict[str, int]
+    scale: int  # of the platform's unit, in the smallest
+    allowed: str
+
+
+MEASURES = {
+    "ns": Measure(units.NANOSECONDS, 1, "a time such as 400ms"),
+    "MB": Measure(units.BYTES, units.BYTES["MB"], "a size such as 64MB"),
+}
 TYPES = {"boolean": bool, "string": str, "integer": int, "array": list, "object": dict}
 
 
@@ -51,14 +63,10 @@
 
 def spell(value: Any, kind: Any) -> Any:
     """A value of the platform's form as this one writes it."""
-    if not isinstance(value, int | float) or isinstance(value, bool):
+    measure = MEASURES.get(unit(kind))
+    if measure is None or not isinstance(value, int | float) or isinstance(value, bool):
         return value
-    match unit(kind):
-        case "ns":
-            return units.spell(value, units.NANOSECONDS)
-        case "MB":
-            return units.spell(value * MB, units.BYTES)
-    return value
+    return units.spell(value * measure.scale, measure.units)
 
 
 def _translate(raw: Any, kind: type[Struct], path: str, found: list[Problem]) -> dict[str, Any]:
@@ -79,18 +87,15 @@
 
 
 def _value(value: Any, kind: Any, path: str, found: list[Problem]) -> Any:
-    inner, entry = settings.bare(kind), settings.entry_type(settings.bare(kind))
-    if isinstance(value, dict) and isinstance(inner, type) and issubclass(inner, Struct):
+    inner, entry = settings.part_type(kind), settings.entry_type(kind)
+    if isinstance(value, dict) and inner is not None:
         return _translate(value, inner, path, found)
     if isinstance(value, list) and value and entry is not None and all(isinstance(v, dict) for v in value):
         return [_translate(v, entry, f"{path}[{n}]", found) for n, v in enumerate(value)]
     read = value
-    match unit(kind):
-        case "ns":
-            read = units.parse(value, units.NANOSECONDS)
-        case "MB":
-            size = units.parse(value, units.BYTES)
-            read = size // MB if size is not None else None
+    if (measure := MEASURES.get(unit(kind))) is not None:
+        figure = units.parse(value, measure.units)
+        read = figure // measure.scale if figure is not None else None
     if read is None or not _fits(read, kind) or settings.fault(read, kind, path) is not None:
         found.append(Problem(path, f"is {value!r}, where {_allowed(kind)} is allowed"))
     return read
@@ -106,9 +111,5 @@
 
 
 def _allowed(kind: Any) -> str:
-    match unit(kind):
-        case "ns":
-            return "a time such as 400ms"
-        case "MB":
-            return "a size such as 64MB"
-    return settings.allowed(kind)
+    measure = MEASURES.get(unit(kind))
+    return settings.allowed(kind) if measure is None else measure.allowed
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -22,7 +22,7 @@
 from sprucenotch.node.log import event as tell
 from sprucenotch.node.standing import MS, STATUS_EVERY, Standing, own_memory
 from sprucenotch.node.stream import READ_MOST, Budget, Stream
-from sprucenotch.node.telemetry import Telemetry
+from sprucenotch.node.telemetry import OUTCOMES, Telemetry
 from sprucenotch.node.upstream import Answer, Attempt, Upstream
 
 log = logging.getLogger(__name__)
@@ -31,7 +31,6 @@
 # A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
 # has told binds it from then on. Much later, and a replacement would not come in time.
 TOLD_WITHIN = 3 * SECOND
-OUTCOMES = tuple(outcome.name.lower() for outcome in Outcome)
 HELD_SHARE = 0.5  # of an attempt's time: later, an answer of unknown length is not held to be tried again
 
 
--- a/sprucenotch/node/metrics.py
+++ b/sprucenotch/node/metrics.py
@@ -7,12 +7,11 @@
 from collections.abc import Iterable, Iterator
 
 from sprucenotch import __version__
-from sprucenotch.api import Outcome
 from sprucenotch.node.standing import Standing
 from sprucenotch.node.stream import Budget
+from sprucenotch.node.telemetry import OUTCOMES
 
 SECOND = 1_000_000_000
-OUTCOMES = [outcome.name.lower() for outcome in Outcome]
 GAUGES = {
     "cut": "Requests of a level below this are refused.",
     "cut_levels": "The highest cut there is.",
--- a/sprucenotch/node/telemetry.py
+++ b/sprucenotch/node/telemetry.py
@@ -12,6 +12,7 @@
 
 # Bounds of the latency buckets, in aims: whether answers come in time, and how near they are to missing it.
 AIMS = (1 / 16, 1 / 8, 1 / 4, 1 / 2, 3 / 4, 1, 1.5, 2)
+OUTCOMES = tuple(outcome.name.lower() for outcome in Outcome)  # by number, as they are told
 ENGINES_MOST = 512  # counted one by one; what is beyond goes into one
 
 
--- a/sprucenotch/settings.py
+++ b/sprucenotch/settings.py
@@ -288,15 +288,15 @@
 
 def problems(raw: Any, kind: Any, path: str) -> Iterator[Problem]:
     """Everything in a decoded object that its type does not allow, by path."""
-    inner = bare(kind)
-    if isinstance(raw, dict) and isinstance(inner, type) and issubclass(inner, Struct):
+    inner = part_type(kind)
+    if isinstance(raw, dict) and inner is not None:
         for field in msgspec.structs.fields(inner):
             below = f"{path}.{field.encode_name}" if path else field.encode_name
             if field.encode_name in raw:
                 yield from problems(raw[field.encode_name], field.type, below)
             elif field.required:
                 yield Problem(below, f"is missing, where {allowed(field.type)} is needed")
-    elif isinstance(raw, list) and raw and (entry := entry_type(inner)) is not None:
+    elif isinstance(raw, list) and raw and (entry := entry_type(kind)) is not None:
         for number, value in enumerate(raw):
             yield from problems(value, entry, f"{path}[{number}]")
     elif (found := fault(raw, kind, path)) is not None:
@@ -322,12 +322,18 @@
     return bare(get_args(kind)[0]) if get_origin(kind) is Annotated else kind
 
 
-def entry_type(kind: Any) -> Any | None:
+def part_type(kind: Any) -> type[Struct] | None:
+    """The type of an object, if it is one."""
+    inner = bare(kind)
+    return inner if isinstance(inner, type) and issubclass(inner, Struct) else None
+
+
+def entry_type(kind: Any) -> type[Struct] | None:
     """The type of a list's entries, if they are objects."""
-    for choice in (kind, *get_args(kind)):
+    inner = bare(kind)
+    for choice in (inner, *get_args(inner)):
         if get_origin(choice) is tuple:
-            entry = get_args(choice)[0]
-            return entry if isinstance(entry, type) and issubclass(entry, Struct) else None
+            return part_type(get_args(choice)[0])
     return None
 
 
