--- /dev/null
+++ b/sprucenotch/rig/truth/history.py
@@ -0,0 +1,124 @@
+"""What happened in a run, as each side saw it. All times are seconds of one machine's monotonic clock, from
+the start of the run; a history is in their order."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Literal, TypeAlias
+
+from msgspec import Struct
+
+
+class Happening(Struct, frozen=True, kw_only=True, tag=True):
+    at: float
+
+
+class Sent(Happening, frozen=True, kw_only=True):
+    """A client wrote the last byte of a request."""
+
+    id: str
+    call: str  # what the client wanted; its repeats share it
+    cls: str
+    key: str = ""
+    owner: str = ""
+    sidecar: str
+    life: int = 0  # which process of that name listened when the connection came up
+    due: float  # when the load had it
+    deadline: float  # seconds after `at`
+    fresh: bool = True  # on a connection that carried nothing before
+    repeat: int = 0
+
+
+class Ended(Happening, frozen=True, kw_only=True):
+    """A client knows how its request ended."""
+
+    id: str
+    status: int  # 0 without a whole answer
+    body: str = ""
+    # whole: an answer; broke: the connection ended before it; refused: it never came up; silent: given up
+    how: Literal["whole", "broke", "refused", "silent"] = "whole"
+
+
+class Surplus(Happening, frozen=True, kw_only=True):
+    """Bytes came on a connection whose request was answered already."""
+
+    sidecar: str
+    id: str  # of the request before
+    data: str
+
+
+Step: TypeAlias = Literal["begun", "done", "error", "declined", "lost"]
+
+
+class Ran(Happening, frozen=True, kw_only=True):
+    """An engine took a request in hand, and what became of it. `lost`: it died, or nobody waits any more."""
+
+    engine: str
+    life: int
+    id: str
+    key: str = ""
+    step: Step
+
+
+class Listed(Happening, frozen=True, kw_only=True):
+    """Discovery knows of a change since that version."""
+
+    engine: str
+    health: str
+    version: int
+
+
+class Told(Happening, frozen=True, kw_only=True):
+    """Discovery wrote the list, or its changes, up to that version."""
+
+    sidecar: str
+    version: int
+
+
+class Process(Happening, frozen=True, kw_only=True):
+    name: str
+    what: Literal["started", "ready", "told to end", "killed", "ended"]
+    life: int
+    code: int = 0
+    version: int = 0  # of the list that a start was given
+
+
+class Fault(Happening, frozen=True, kw_only=True):
+    """A fault begins or is healed. `hits` names the processes and the links ("a>b") that it touches."""
+
+    number: int
+    do: str
+    hits: tuple[str, ...]
+    on: bool
+
+
+class Figures(Happening, frozen=True, kw_only=True):
+    """What a sidecar said of itself at the end, with nothing in progress."""
+
+    sidecar: str
+    life: int
+    told: Mapping[str, Any]
+
+
+class Lag(Happening, frozen=True, kw_only=True):
+    """The rig itself came late by so many seconds: what it saw around then proves nothing."""
+
+    late: float
+
+
+Event: TypeAlias = Sent | Ended | Surplus | Ran | Listed | Told | Process | Fault | Figures | Lag
+
+
+def line(event: Event) -> str:
+    """An event for a reader's time line."""
+    fields = {f: getattr(event, f) for f in event.__struct_fields__ if f != "at"}
+    told = " ".join(f"{name}={_short(value)}" for name, value in fields.items() if value not in ("", None))
+    return f"{event.at:9.4f}  {type(event).__name__.lower():8} {told}"
+
+
+def _short(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.4f}"
+    if isinstance(value, tuple):
+        return ",".join(map(str, value[:4])) + (f",+{len(value) - 4}" if len(value) > 4 else "")
+    return str(value)
