--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -14,40 +14,32 @@
 import argparse
 import asyncio
 import compileall
-import contextlib
-import io
 import os
 import statistics
 import subprocess
 import sys
-import tarfile
-import tempfile
 import time
-import tomllib
-from collections.abc import Iterator
-from pathlib import Path
-from typing import Any
 
 import uvloop
 
-from sprucenotch.rig.client import Clients, Ended, Kind
-from sprucenotch.rig.engine import Work
-from sprucenotch.rig.fleet import Fleet
-from sprucenotch.rig.process import SidecarProcess, free_address
+from sprucenotch.rig.client import Ask, Clients, Ended
+from sprucenotch.rig.load import kind
+from sprucenotch.rig.plan import Class, Fleet, Load, Plan
+from sprucenotch.rig.revision import ROOT, Program, Programs
+from sprucenotch.rig.stage import Stage
 
-ROOT = Path(__file__).resolve().parent.parent
-KINDS = {Kind("look", False, 2.0, 0.5): Work(0.002), Kind("book", True, 2.0, 0.5, 5.0): Work(0.002)}
+CLASSES = (
+    Class(name="look", work=2_000_000, spread=0, aim=500_000_000),
+    Class(name="book", work=2_000_000, spread=0, aim=500_000_000, worth=5, effect="dedup"),
+)
 STARTS = 9  # of each version, for the cost of a start
 
 
 class Version:
-    def __init__(self, label: str, tree: Path) -> None:
-        self.label, self.tree = label, tree
-        deploy = tomllib.loads((tree / "deploy" / "balancer.toml").read_text())
-        words = deploy["run"].split()
-        self.command = (sys.executable, "-m", words[words.index("-m") + 1])
-        # Bytecode as the deployment's build leaves it: compiling at the start would cost memory and time.
-        compileall.compile_dir(tree / self.command[2], quiet=1)
+    def __init__(self, label: str, program: Program) -> None:
+        self.label, self.program = label, program
+        self.tree = program.cwd or ROOT
+        self.module = program.command[-1]
         self.cpu: list[float] = []  # microseconds a request, by round
         self.latency: list[float] = []  # milliseconds, the median of a round
         self.tail: list[float] = []  # the 99th percentile
@@ -55,18 +47,6 @@
         self.start: list[tuple[float, float]] = []  # seconds of processor time, megabytes resident
 
 
-@contextlib.contextmanager
-def checkout(revision: str) -> Iterator[Path]:
-    """The tree of a revision, in a folder for the time being."""
-    raw = subprocess.run(
-        ("git", "archive", revision, ":!journal"), cwd=ROOT, check=True, capture_output=True
-    ).stdout
-    with tempfile.TemporaryDirectory(prefix="revision-") as folder:
-        with tarfile.open(fileobj=io.BytesIO(raw)) as archive:
-            archive.extractall(folder, filter="data")
-        yield Path(folder)
-
-
 async def load(dial: str, requests: int, connections: int) -> tuple[float, float]:
     """A closed load: the median and the 99th percentile of the latencies, in milliseconds."""
     took: list[float] = []
@@ -77,11 +57,11 @@
         took.append(ended.took * 1000)
 
     clients = Clients(dial, report)
-    kinds = list(KINDS)
+    asks = [Ask(kind(one)) for one in CLASSES]
 
     async def one() -> None:
         while len(took) < requests:
-            await clients.ask(kinds[len(took) % len(kinds)])
+            await clients.ask(asks[len(took) % len(asks)])
 
     await asyncio.gather(*(one() for _ in range(connections)))
     await clients.finish()
@@ -92,8 +72,8 @@
 def start_cost(version: Version) -> tuple[float, float]:
     """Seconds of processor time and megabytes resident after the imports of `run`."""
     code = (
-        f"import importlib, time\nimportlib.import_module('{version.command[2]}.__main__')\n"
-        f"try: importlib.import_module('{version.command[2]}.node.serve')\n"  # where it is apart
+        f"import importlib, time\nimportlib.import_module('{version.module}.__main__')\n"
+        f"try: importlib.import_module('{version.module}.node.serve')\n"  # where it is apart
         "except ModuleNotFoundError: pass\nused = time.process_time()\n"
         "pages = int(open('/proc/self/statm').read().split()[1]); print(used, pages * 4096 / 1e6)"
     )
@@ -105,31 +85,27 @@
 
 
 async def play(versions: list[Version], options: argparse.Namespace) -> tuple[list[float], list[float]]:
-    fleet = Fleet(KINDS, engines=4, slots=64)
-    await fleet.start()
+    plan = Plan("", 1.0, 0.0, Fleet(sidecars=len(versions), engines=4, slots=64, queue=8), Load(), CLASSES)
     direct: list[float] = []
     tails: list[float] = []
-    with contextlib.ExitStack() as running:
-        sidecars = []
-        for number, version in enumerate(versions):
-            told: dict[str, Any] = fleet.configuration(0, 1, free_address(), free_address())
-            process = running.enter_context(SidecarProcess(told, version.command, version.tree))
-            os.sched_setaffinity(process.process.pid, {2 + number})
-            await process.ready()
-            await load(process.listen, options.requests // 4, options.connections)  # warm
-            sidecars.append((version, process))
+    programs = {f"sidecar-{number}": version.program for number, version in enumerate(versions)}
+    async with Stage(plan, seed=1, programs=programs) as stage:
+        sidecars = list(zip(versions, stage.sidecars.values(), strict=True))
+        for number, (_, sidecar) in enumerate(sidecars):
+            os.sched_setaffinity(sidecar.process.pid, {2 + number})
+            await load(sidecar.listen, options.requests // 4, options.connections)  # warm
         for number in range(options.rounds):
-            median, tail = await load(fleet.engines[0].server.dial, options.requests, options.connections)
+            median, tail = await load(stage.engines["engine-0"].dial, options.requests, options.connections)
             direct.append(median)
             tails.append(tail)
-            for version, process in sidecars if number % 2 else reversed(sidecars):
+            for version, sidecar in sidecars if number % 2 else reversed(sidecars):
+                process = sidecar.process
                 before = process.cpu()
-                median, tail = await load(process.listen, options.requests, options.connections)
+                median, tail = await load(sidecar.listen, options.requests, options.connections)
                 version.cpu.append((process.cpu() - before) / options.requests / 1000)
                 version.latency.append(median)
                 version.tail.append(tail)
                 version.memory.append(process.memory()[0])
-    fleet.stop()
     return direct, tails
 
 
@@ -147,10 +123,11 @@
     parser.add_argument("--connections", type=int, default=4)
     options = parser.parse_args()
     os.sched_setaffinity(0, {0, 1})
-    with contextlib.ExitStack() as stack:
-        versions = [Version("this tree", ROOT)]
+    with Programs() as programs:
+        compileall.compile_dir(ROOT / "sprucenotch", quiet=1)
+        versions = [Version("this tree", programs.program(""))]
         if options.against:
-            versions.append(Version(options.against, stack.enter_context(checkout(options.against))))
+            versions.append(Version(options.against, programs.program(options.against)))
         for version in versions * STARTS:
             version.start.append(start_cost(version))
         began = time.perf_counter()
--- a/sprucenotch/cli/demo.py
+++ b/sprucenotch/cli/demo.py
@@ -21,10 +21,11 @@
 
 from sprucenotch.cli.figures import Reading, read
 from sprucenotch.cli.output import AsJson, Exit, fail, say_json
-from sprucenotch.rig.day import KINDS, LATE_MOST, Day, Plan, Second
-from sprucenotch.rig.engine import Engine
+from sprucenotch.rig.plan import CLASSES, Fleet, Load, Plan, Step
+from sprucenotch.rig.play import LATE_MOST, Play, Second
 from sprucenotch.rig.process import RigError
-from sprucenotch.rig.trouble import TROUBLES
+from sprucenotch.rig.remote import AnyEngine
+from sprucenotch.rig.trouble import TROUBLES, Troubles
 
 OUTCOMES = ("served", "late", "refused", "failed")
 KEYS = {trouble.key: name for name, trouble in TROUBLES.items()}
@@ -45,9 +46,12 @@
     """Start engines, discovery, real sidecars and clients on loopback; show how they do; stop by itself."""
     if trouble and trouble not in TROUBLES:
         fail(Exit.BAD_INPUT, f"no such trouble: {trouble!r}; there are {', '.join(TROUBLES)}")
-    plan = Plan(seconds, sidecars, engines, load, trouble, seed)
+    steps = (Step(seconds / 3, TROUBLES[trouble].fault, seconds / 3),) if trouble else ()
+    plan = Plan(
+        trouble, seconds, 0.0, Fleet(sidecars=sidecars, engines=engines), Load(share=load), CLASSES, steps
+    )
     try:
-        day = uvloop.run(_play(plan, live=not as_json and sys.stdout.isatty(), quiet=as_json))
+        day = uvloop.run(_play(plan, seed, live=not as_json and sys.stdout.isatty(), quiet=as_json))
     except (RigError, OSError) as problem:
         fail(Exit.BAD_INPUT, str(problem))
     if as_json:
@@ -58,38 +62,41 @@
         raise typer.Exit(Exit.INTERRUPTED)
 
 
-async def _play(plan: Plan, live: bool, quiet: bool) -> Day:
-    day = Day(plan)
+async def _play(plan: Plan, seed: int, live: bool, quiet: bool) -> Play:
+    pending: set[asyncio.Task[None]] = set()
+
+    def each_second(second: Second) -> None:
+        if live:
+            task = asyncio.get_running_loop().create_task(look(second))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+        elif not quiet:
+            print(_line(day, second), flush=True)
+
+    day = Play(plan, seed, each_second)
     for number in (signal.SIGINT, signal.SIGTERM):
         asyncio.get_running_loop().add_signal_handler(number, day.interrupt)
-    if quiet:
-        await day.play(lambda second: None)
-    elif live:
-        shown = Live(Text("starting ..."), console=Console(), auto_refresh=False)
-        with shown, _keys(day):
-            readings: list[Reading | None] = [None] * plan.sidecars
-            pending: set[asyncio.Task[None]] = set()
-
-            async def look(second: Second) -> None:
-                for number, sidecar in enumerate(day.sidecars):
-                    with contextlib.suppress(OSError, ValueError):  # the one before stays in view
-                        readings[number] = await asyncio.to_thread(read, sidecar.mgmt)
-                shown.update(view(day, second, readings), refresh=True)
-
-            def each_second(second: Second) -> None:
-                task = asyncio.get_running_loop().create_task(look(second))
-                pending.add(task)
-                task.add_done_callback(pending.discard)
-
-            await day.play(each_second)
-            await asyncio.gather(*pending)
-    else:
-        await day.play(lambda second: print(_line(day, second), flush=True))
+    shown = Live(Text("starting ..."), console=Console(), auto_refresh=False)
+    readings: list[Reading | None] = [None] * plan.fleet.sidecars
+    troubles = Troubles(day.faults)
+
+    async def look(second: Second) -> None:
+        for number, sidecar in enumerate(day.stage.sidecars.values()):
+            with contextlib.suppress(OSError, ValueError):  # the one before stays in view
+                readings[number] = await asyncio.to_thread(read, sidecar.mgmt)
+        shown.update(view(day, second, readings, troubles.on), refresh=True)
+
+    with contextlib.ExitStack() as screen:
+        if live:
+            screen.enter_context(shown)
+            screen.enter_context(_keys(day, troubles))
+        await day.run()
+        await asyncio.gather(*pending)
     return day
 
 
 @contextlib.contextmanager
-def _keys(day: Day) -> Iterator[None]:
+def _keys(day: Play, troubles: Troubles) -> Iterator[None]:
     """Keys turn troubles on and off; q ends the day."""
     if not sys.stdin.isatty():
         yield
@@ -102,7 +109,7 @@
         if key == "q":
             day.stopped.set()
         elif (name := KEYS.get(key)) is not None:
-            task = loop.create_task(day.troubles.turn(name, name not in day.troubles.on))
+            task = loop.create_task(troubles.turn(name, name not in troubles.on))
             pending.add(task)
             task.add_done_callback(pending.discard)
 
@@ -125,27 +132,29 @@
     return total, {outcome: counts[outcome] / max(1, total) for outcome in OUTCOMES}
 
 
-def _line(day: Day, second: Second) -> str:
+def _line(day: Play, second: Second) -> str:
     asked, shares = _shares(second.ended)
     told = ", ".join(f"{outcome} {share:.0%}" for outcome, share in shares.items())
-    troubles = f"; trouble: {', '.join(sorted(day.troubles.on))}" if day.troubles.on else ""
-    return f"{second.at:3.0f} s  {asked:4d} requests: {told}{troubles}"
+    on = next((s for s in day.plan.steps if s.at < second.at - 0.5 < s.at + s.lasts), None)
+    trouble = f"; trouble: {day.plan.title}" if on is not None else ""
+    return f"{second.at:3.0f} s  {asked:4d} requests: {told}{trouble}"
 
 
-def _summary(day: Day) -> dict[str, Any]:
+def _summary(day: Play) -> dict[str, Any]:
     return {
-        "classes": {kind.name: _counts(day, kind.name) for kind in KINDS}, "load_late_s": round(day.late, 3),
-        "held_back": day.held_back, "seed": day.plan.seed, "trouble": day.plan.trouble,
+        "classes": {cls.name: _counts(day, cls.name) for cls in CLASSES}, "load_late_s": round(day.late, 3),
+        "held_back": day.load.held_back if day.load is not None else 0, "seed": day.seed,
+        "trouble": day.plan.title,
     }  # fmt: skip
 
 
-def _counts(day: Day, cls: str) -> dict[str, int]:
+def _counts(day: Play, cls: str) -> dict[str, int]:
     return {outcome: day.total[cls, outcome] for outcome in OUTCOMES}
 
 
-def _closing(day: Day) -> str:
+def _closing(day: Play) -> str:
     lines = ["all in all:"]
-    for kind in KINDS:
+    for kind in CLASSES:
         asked, shares = _shares(day.total, kind.name)
         told = ", ".join(f"{outcome} {share:.1%}" for outcome, share in shares.items())
         lines.append(f"  {kind.name}: {asked} requests, {told}")
@@ -154,13 +163,13 @@
     return "\n".join((*lines, "everything that was started is stopped"))
 
 
-def view(day: Day, second: Second, readings: list[Reading | None]) -> RenderableType:
-    on = ", ".join(sorted(day.troubles.on)) or "none"
+def view(day: Play, second: Second, readings: list[Reading | None], troubles: list[str]) -> RenderableType:
+    on = ", ".join(troubles or [day.plan.title]) or "none"
     keys = "  ".join(f"[{trouble.key}] {name}" for name, trouble in TROUBLES.items())
     head = Text.assemble(
-        ("sprucenotch", "bold"), f"  {second.at:.0f} of {day.plan.seconds:.0f} s, ",
-        f"{day.rate:.0f} requests a second; trouble: ",
-        (on, "bold red" if day.troubles.on else "green"), f"\n{keys}  [q] quit",
+        ("sprucenotch", "bold"), f"  {second.at:.0f} of {day.plan.length:.0f} s, ",
+        f"{day.plan.rate * day.faults.load:.0f} requests a second; trouble: ",
+        (on, "green" if on == "none" else "bold red"), f"\n{keys}  [q] quit",
     )  # fmt: skip
     return Group(head, _service(second), _sidecars(second, readings), _engines(day, second))
 
@@ -174,7 +183,7 @@
 
 def _service(second: Second) -> Table:
     table = _table("service, as the clients saw it in this second", "class", "ended", *OUTCOMES)
-    for kind in KINDS:
+    for kind in CLASSES:
         asked, shares = _shares(second.ended, kind.name)
         cells = [Text(f"{shares[o]:.0%}", _colour(o, shares[o])) for o in OUTCOMES]
         table.add_row(kind.name, str(asked), *cells)
@@ -197,25 +206,29 @@
                 f"{reading.samples.get(('engines', ('used',)), 0):.0f} engines",
                 str(reading.telemetry["in_progress"]),
                 f"{reading.gauge('resident_memory_bytes') / 1e6:.0f} MB",
-                f"{second.cpu[number]:.1%}",
+                f"{second.cpu.get(f'sidecar-{number}', 0.0):.1%}",
             )  # fmt: skip
     return table
 
 
-def _engines(day: Day, second: Second) -> Table:
+def _engines(day: Play, second: Second) -> Table:
     table = _table("engines", "engine", "zone", "state", "served", "holds")
     table.columns[-1].justify = "left"
-    for engine, served in zip(day.fleet.engines, second.served, strict=True):
+    for engine in day.stage.engines.values():
         state = _state(engine)
         holds = Text("█" * engine.busy, "cyan") + Text("█" * (engine.held - engine.busy), "yellow")
         holds += Text("·" * max(0, BAR - engine.held), "dim")
         table.add_row(
-            engine.name, engine.zone, Text(state, "" if state == "up" else "red"), str(served), holds
+            engine.name,
+            engine.zone,
+            Text(state, "" if state == "up" else "red"),
+            str(second.served.get(engine.name, 0)),
+            holds,
         )
     return table
 
 
-def _state(engine: Engine) -> str:
+def _state(engine: AnyEngine) -> str:
     if not engine.up:
         return "dead"
     if engine.failing:
--- a/sprucenotch/config/toml.py
+++ b/sprucenotch/config/toml.py
@@ -30,23 +30,28 @@
 MEASURES = {
     "ns": Measure(units.NANOSECONDS, 1, "a time such as 400ms"),
     "MB": Measure(units.BYTES, units.BYTES["MB"], "a size such as 64MB"),
+    "B": Measure(units.BYTES, 1, "a size such as 64kB"),
 }
 TYPES = {"boolean": bool, "string": str, "integer": int, "array": list, "object": dict}
 
 
 def decode(raw: bytes) -> dict[str, Any]:
     """A file as the platform would have told it. Raises SettingsError with every problem in it."""
-    try:
-        top = tomllib.loads(raw.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise SettingsError([Problem("the file", f"is not TOML: {problem}")]) from None
     found: list[Problem] = []
-    told = _translate(top, settings.File, "", found)
+    told = translate(parse(raw), settings.File, "", found)
     if found:
         raise SettingsError(found)
     return told
 
 
+def parse(raw: bytes) -> dict[str, Any]:
+    """The file as TOML has it. Raises SettingsError."""
+    try:
+        return tomllib.loads(raw.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise SettingsError([Problem("the file", f"is not TOML: {problem}")]) from None
+
+
 def key(field: Any) -> str:
     """The name of a field in this form: its unit stands with the value."""
     name = str(field.name)
@@ -69,7 +74,9 @@
     return units.spell(value * measure.scale, measure.units)
 
 
-def _translate(raw: Any, kind: type[Struct], path: str, found: list[Problem]) -> dict[str, Any]:
+def translate(raw: Any, kind: type[Struct], path: str, found: list[Problem]) -> dict[str, Any]:
+    """A table with its figures as plain numbers, under the names that `kind` is encoded by. What cannot be
+    taken is added to `found`."""
     fields = {key(field): field for field in msgspec.structs.fields(kind)}
     told = {}
     for name, value in raw.items():
@@ -89,9 +96,9 @@
 def _value(value: Any, kind: Any, path: str, found: list[Problem]) -> Any:
     inner, entry = settings.part_type(kind), settings.entry_type(kind)
     if isinstance(value, dict) and inner is not None:
-        return _translate(value, inner, path, found)
+        return translate(value, inner, path, found)
     if isinstance(value, list) and value and entry is not None and all(isinstance(v, dict) for v in value):
-        return [_translate(v, entry, f"{path}[{n}]", found) for n, v in enumerate(value)]
+        return [translate(v, entry, f"{path}[{n}]", found) for n, v in enumerate(value)]
     read = value
     if (measure := MEASURES.get(unit(kind))) is not None:
         figure = units.parse(value, measure.units)
--- /dev/null
+++ b/sprucenotch/rig/nemesis.py
@@ -0,0 +1,33 @@
+"""Draws faults by seed. A pure function of the plan and the seed: the same two give the same steps."""
+
+from __future__ import annotations
+
+import random
+
+from sprucenotch.rig.faults import SELF_ENDING
+from sprucenotch.rig.plan import SECOND, Plan, Step
+
+OWN_TIME = 2.0  # seconds granted to a fault that ends by itself
+
+
+def steps(plan: Plan, seed: int) -> tuple[Step, ...]:
+    """The plan's own steps with those that its nemesis draws: at most `at_once` overlap, none lasts beyond
+    its end."""
+    nemesis = plan.nemesis
+    if nemesis is None:
+        return plan.steps
+    rng = random.Random(f"nemesis {seed}")
+    drawn: list[Step] = []
+    at, end = nemesis.start / SECOND, nemesis.end / SECOND
+    while True:
+        at += rng.expovariate(SECOND / nemesis.every)
+        fault = rng.choice(plan.drawn_from)
+        lasts = rng.uniform(nemesis.shortest / SECOND, nemesis.longest / SECOND)
+        if at + nemesis.shortest / SECOND >= end:
+            break
+        ends_itself = isinstance(fault, SELF_ENDING)
+        lasts = min(OWN_TIME if ends_itself else lasts, end - at)
+        under_way = [s for s in drawn if s.at + (s.lasts or OWN_TIME) > at]
+        if len(under_way) < nemesis.at_once:
+            drawn.append(Step(at, fault, 0.0 if ends_itself else lasts))
+    return tuple(sorted((*plan.steps, *drawn), key=lambda step: step.at))
--- /dev/null
+++ b/sprucenotch/rig/play.py
@@ -0,0 +1,265 @@
+"""Plays a plan: the stage, the load, the faults at their times, and the ledger at the end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import statistics
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from sprucenotch.rig import nemesis, revision
+from sprucenotch.rig.actions import Faults
+from sprucenotch.rig.client import Clients, Ended
+from sprucenotch.rig.load import Load
+from sprucenotch.rig.plan import SECOND, Plan, Step
+from sprucenotch.rig.process import ProcessError, RigError, call
+from sprucenotch.rig.stage import Stage
+from sprucenotch.rig.summary import Summary, summarize
+from sprucenotch.rig.truth import checks
+from sprucenotch.rig.truth.history import Event, Figures, Lag
+from sprucenotch.rig.truth.ledger import LATE_LEAST, Finding, Invariant, Ledger, Rules, Terms
+
+LAG_EVERY = 0.01  # seconds between two looks at the rig's own lateness
+LATE_MOST = 0.25  # seconds: a load that lags more is not the one that was asked for
+LATE_USUAL = 0.02  # seconds, at the 99th percentile
+STILL_WITHIN = 5.0  # seconds in which a sidecar ends what it has in progress
+
+
+class Second(Struct, frozen=True):
+    """What clients, engines and sidecars did since the last one."""
+
+    at: float  # seconds since the first request
+    ended: Counter[tuple[str, str]]  # by class and outcome, as the clients saw it
+    served: Mapping[str, int]  # by engine's place
+    held: Mapping[str, int]
+    cpu: Mapping[str, float]  # share of a core, by sidecar
+    gauges: Mapping[str, Mapping[str, float]]  # by sidecar
+
+
+class Result(Struct, frozen=True, kw_only=True):
+    title: str
+    seed: int
+    revision: str
+    seconds: float
+    summary: Summary
+    findings: Sequence[Finding]
+    judged: Mapping[str, int]
+    excused: Mapping[str, int]
+    faults: Sequence[str]
+    lateness: Mapping[str, float]  # of the load, seconds
+    held_back: int
+    interrupted: bool
+
+    @property
+    def late(self) -> bool:
+        """Whether the rig could not keep up: then it proves nothing about the program."""
+        return bool(self.held_back or self.lateness["p99"] > LATE_USUAL or self.lateness["most"] > LATE_MOST)
+
+
+class Play:
+    """One run. `each_second` hears of each as it ends."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        seed: int,
+        each_second: Callable[[Second], None] = lambda second: None,
+        invariants: Sequence[Invariant] | None = None,
+        folder: Path | None = None,
+    ) -> None:
+        self.plan, self.seed, self._each_second = plan, seed, each_second
+        self._invariants = checks.shipped() if invariants is None else invariants
+        self.stage = Stage(plan, seed, folder)
+        self.faults = Faults(self.stage)
+        self.total: Counter[tuple[str, str]] = Counter()
+        self.load: Load | None = None
+        self.seconds: list[Second] = []
+        self.logs: dict[str, str] = {}
+        self.stopped = asyncio.Event()
+        self.interrupted = False
+        self._recent: Counter[tuple[str, str]] = Counter()
+        self._steps = nemesis.steps(plan, seed)
+        self.began = 0.0  # the monotonic clock at the first request
+
+    def interrupt(self) -> None:
+        """End now, as at the end of the plan."""
+        self.interrupted = True
+        self.stopped.set()
+
+    @property
+    def late(self) -> float:
+        """The most that the load lagged, in seconds."""
+        return max(self.load.late, default=0.0) if self.load is not None else 0.0
+
+    def _ended(self, ended: Ended) -> None:
+        self._recent[ended.kind.name, ended.outcome] += 1
+
+    async def run(self) -> Result:
+        """The whole plan. Raises RigError where a process does not start, or ends by itself. All that was
+        started is ended when this returns, however it does."""
+        async with self.stage as stage:
+            clients = {
+                name: Clients(
+                    stage.dial(name), name=f"c{number}", sidecar=name, witness=stage.witness,
+                    origin=stage.origin, life=lambda name=name: stage.sidecars[name].life,  # type: ignore[misc]
+                )
+                for number, name in enumerate(stage.sidecars)
+            }  # fmt: skip
+            self.load = Load(self.plan, self.seed, clients, lambda: self.faults.load, self._ended)
+            self.began = time.monotonic()
+            lag = asyncio.create_task(self._watch_lag())
+            try:
+                await self._through(self.load)
+                await self._still()
+            finally:
+                lag.cancel()
+                self.logs = stage.logs()
+        self.total += self._recent
+        return self._result(stage.history)
+
+    async def _through(self, load: Load) -> None:
+        """Load, faults and seconds side by side; whatever fails ends all of them."""
+        end = self.began + self.plan.length
+        sending = asyncio.create_task(load.run(end))
+        harming = asyncio.create_task(self._harm())
+        watching = asyncio.create_task(self._watch(end))
+        tasks = (sending, harming, watching)
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
+            for task in done:
+                with contextlib.suppress(Stopped):
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        await self.faults.heal_all()
+        await load.finish()
+        await asyncio.sleep(0 if self.interrupted else self.plan.settle)
+
+    async def _harm(self) -> None:
+        """Every step at its time, each healed at its own."""
+
+        async def one(step: Step) -> None:
+            await asyncio.sleep(max(0.0, self.began + step.at - time.monotonic()))
+            number = await self.faults.begin(step.fault)
+            await asyncio.sleep(max(0.0, self.began + step.at + step.lasts - time.monotonic()))
+            await self.faults.heal(number)
+
+        async with asyncio.TaskGroup() as group:
+            for step in self._steps:
+                group.create_task(one(step))
+
+    async def _watch(self, end: float) -> None:
+        stage = self.stage
+        served, cpu, then = self._served(), self._cpu(), self.began
+        while (now := time.monotonic()) < end and not self.stopped.is_set():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.stopped.wait(), min(1.0, end - now))
+            for name, sidecar in stage.sidecars.items():
+                if (code := sidecar.ended_by_itself()) is not None:
+                    raise ProcessError(f"{name} ended with code {code}: {sidecar.process.said()}")
+            now, recent, self._recent = time.monotonic(), self._recent, Counter()
+            self.total += recent
+            before, served = served, self._served()
+            used, cpu = cpu, self._cpu()
+            second = Second(
+                now - self.began, recent, {n: c - before.get(n, 0) for n, c in served.items()},
+                {place: one.held for place, one in stage.engines.items()},
+                {n: (c - used.get(n, c)) / 1e9 / (now - then) for n, c in cpu.items()},
+                await self._gauges(),
+            )  # fmt: skip
+            then = now
+            self.seconds.append(second)
+            self._each_second(second)
+        if self.stopped.is_set():
+            raise Stopped
+
+    def _served(self) -> dict[str, int]:
+        return {one.name: one.served for one in self.stage.engines.values()}
+
+    def _cpu(self) -> dict[str, int]:
+        found = {}
+        for name, sidecar in self.stage.sidecars.items():
+            with contextlib.suppress(OSError):
+                found[name] = sidecar.process.cpu()
+        return found
+
+    async def _gauges(self) -> dict[str, dict[str, float]]:
+        """What each sidecar says of its decisions, of those that answer at once."""
+        names = list(self.stage.sidecars)
+        told = await asyncio.gather(*(asyncio.to_thread(_read, self.stage.sidecars[n]) for n in names))
+        return {name: gauges for name, gauges in zip(names, told, strict=True) if gauges}
+
+    async def _watch_lag(self) -> None:
+        due = time.monotonic() + LAG_EVERY
+        while True:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            now = time.monotonic()
+            if now - due >= LATE_LEAST:
+                self.stage.witness(Lag(at=self.stage.now(), late=now - due))
+            due = now + LAG_EVERY
+
+    async def _still(self) -> None:
+        """Each sidecar's own figures, once it has nothing in progress."""
+        for name, sidecar in self.stage.sidecars.items():
+            if (code := sidecar.ended_by_itself()) is not None:
+                raise ProcessError(f"{name} ended with code {code}: {sidecar.process.said()}")
+            until = time.monotonic() + STILL_WITHIN
+            while True:
+                try:
+                    status, body = await asyncio.to_thread(call, sidecar.mgmt, "/api/telemetry", 2.0)
+                except OSError as problem:
+                    raise ProcessError(f"{name} does not tell its figures: {problem}") from None
+                told = msgspec.json.decode(body) if status == 200 else {}
+                if told.get("in_progress") == 0 or time.monotonic() > until:
+                    break
+                await asyncio.sleep(0.05)
+            self.stage.witness(Figures(at=self.stage.now(), sidecar=name, life=sidecar.life, told=told))
+
+    def _result(self, history: Sequence[Event]) -> Result:
+        plan = self.plan
+        terms = {
+            c.name: Terms(c.effect, c.window / SECOND, c.aim / SECOND, float(c.worth)) for c in plan.classes
+        }
+        ledger = Ledger(history, terms, Rules(attempts=plan.fleet.attempts))
+        findings = ledger.judge(self._invariants)
+        late = sorted(self.load.late if self.load is not None else [0.0]) or [0.0]
+        p99 = statistics.quantiles(late, n=100)[98] if len(late) > 1 else late[0]
+        return Result(
+            title=plan.title, seed=self.seed, revision=plan.fleet.revision or revision.name(),
+            seconds=self.stage.now(), summary=summarize(ledger.history, plan.classes), findings=findings,
+            judged=dict(ledger.judged), excused=dict(ledger.excused),
+            faults=[str(step.fault.__struct_config__.tag) for step in self._steps],
+            lateness={"median": statistics.median(late), "p99": p99, "most": late[-1]},
+            held_back=self.load.held_back if self.load is not None else 0, interrupted=self.interrupted,
+        )  # fmt: skip
+
+
+class Stopped(RigError):
+    """Told to end before the plan's end."""
+
+
+GAUGES = (b"cut", b"pressure", b"retry_budget", b"resident_memory_bytes", b"open_descriptors")
+
+
+def _read(sidecar: Any) -> dict[str, float]:
+    """Some of its metrics; nothing where it does not answer."""
+    try:
+        status, body = call(sidecar.mgmt, "/metrics", 0.3)
+    except OSError:
+        return {}
+    found: dict[str, float] = {}
+    if status == 200:
+        for line in body.splitlines():
+            name, _, value = line.removeprefix(b"sprucenotch_").partition(b" ")
+            if name in GAUGES:
+                found[name.decode()] = float(value)
+    return found
--- a/sprucenotch/rig/process.py
+++ b/sprucenotch/rig/process.py
@@ -1,10 +1,12 @@
-"""A real sidecar as a process: started with a configuration, watched until it is ready, always ended."""
+"""Processes of a run: started, watched, stopped for a while, slowed, and always ended."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ctypes
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -13,7 +15,7 @@
 import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import msgspec
 
@@ -22,10 +24,18 @@
 TAIL = 5  # lines of its log that a failure tells
 
 
+SLICE = 0.02  # seconds: a slowed process runs for a part of each
+MEMORY_MOST = 2_000_000_000  # bytes of address space, so that one gone wild cannot take the machine with it
+
+
 class RigError(Exception):
     """The rig cannot go on; the text says why in one line."""
 
 
+class ProcessError(RigError):
+    """A process of the run ended, or did not get ready."""
+
+
 def free_address() -> str:
     """An address on loopback that is free at the moment."""
     with socket.socket() as probe:
@@ -53,31 +63,145 @@
 
 
 def end_with_parent() -> None:
-    """Have the kernel end this process when the rig is gone, however that ended."""
-    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+    """Have the kernel end this process when the rig is gone, however that ended, and bound its memory."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)  # SIGTERM would wait for one that is stopped
+    resource.setrlimit(resource.RLIMIT_AS, (MEMORY_MOST, MEMORY_MOST))
+
+
+class Child:
+    """A process of the rig, from its start to its end."""
+
+    def __init__(
+        self,
+        command: Sequence[str],
+        environment: Mapping[str, str] | None = None,
+        cwd: Path | None = None,
+        stdin: int = subprocess.DEVNULL,
+        stdout: IO[bytes] | int = subprocess.DEVNULL,
+        stderr: IO[bytes] | int = subprocess.DEVNULL,
+    ) -> None:
+        self.process = subprocess.Popen(
+            command, cwd=cwd, env=environment, stdin=stdin, stdout=stdout, stderr=stderr,
+            preexec_fn=end_with_parent,
+        )  # fmt: skip
+        self._slowing: asyncio.Task[None] | None = None
+        self._pauses = 0  # they may overlap
+
+    @property
+    def stopped(self) -> bool:
+        return self._pauses > 0
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid
+
+    @property
+    def alive(self) -> bool:
+        return self.process.poll() is None
+
+    async def gone(self, within: float | None = None) -> int:
+        """Wait for its end; its exit code. Raises TimeoutError."""
+        if self.process.poll() is None:
+            loop, ended = asyncio.get_running_loop(), asyncio.Event()
+            descriptor = os.pidfd_open(self.process.pid)  # readable once it has ended
+            try:
+                loop.add_reader(descriptor, ended.set)
+                await asyncio.wait_for(ended.wait(), within)
+            finally:
+                loop.remove_reader(descriptor)
+                os.close(descriptor)
+        return self.process.wait()
+
+    def signal(self, number: signal.Signals) -> None:
+        """To this process, if it is still there."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    def pause(self) -> None:
+        self._pauses += 1
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self._pauses -= 1
+        if not self.stopped:
+            self.signal(signal.SIGCONT)
+
+    def slow(self, share: float) -> None:
+        """Let it run for that share of each slice of time, until `quicken`."""
+        self.quicken()
+        self._slowing = asyncio.get_running_loop().create_task(self._slow(share))
+
+    def quicken(self) -> None:
+        if self._slowing is not None:
+            self._slowing.cancel()
+            self._slowing = None
+            if not self.stopped:
+                self.signal(signal.SIGCONT)
+
+    async def _slow(self, share: float) -> None:
+        while self.alive:
+            self.signal(signal.SIGSTOP)
+            await asyncio.sleep(SLICE * (1 - share))
+            if not self.stopped:
+                self.signal(signal.SIGCONT)
+            await asyncio.sleep(SLICE * share)
+
+    def cpu(self) -> int:
+        """Nanoseconds of processor time that its threads have used. Raises OSError once it has ended."""
+        tasks = Path(f"/proc/{self.pid}/task")
+        return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks.iterdir())
 
+    def memory(self) -> tuple[int, int]:
+        """Bytes resident now: all, and what no other process shares."""
+        _, resident, shared, *_ = map(int, Path(f"/proc/{self.pid}/statm").read_text().split())
+        page = os.sysconf("SC_PAGE_SIZE")
+        return resident * page, (resident - shared) * page
 
-class SidecarProcess:
-    """`command` runs in `cwd` with PROXY_CONFIG naming a file of its own. Use it as a context manager."""
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    def end(self) -> None:
+        """SIGTERM, then SIGKILL; one that is stopped cannot act on the first."""
+        self.quicken()
+        if not self.alive:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            self.process.wait(END_WITHIN)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+    def kill(self) -> None:
+        if self._slowing is not None:
+            self._slowing.cancel()
+        self.process.kill()
+        self.process.wait()
+
+
+class SidecarProcess(Child):
+    """`command` runs in `cwd` with PROXY_CONFIG naming a file of its own. Use it as a context manager;
+    without a `folder` of the caller's it has one for the time being."""
 
     def __init__(
         self,
         told: Mapping[str, Any],
         command: Sequence[str] = (sys.executable, "-m", "sprucenotch"),
         cwd: Path | None = None,
+        folder: Path | None = None,
+        label: str = "sidecar",
     ) -> None:
-        self._folder = tempfile.TemporaryDirectory(prefix="sidecar-")
-        folder = Path(self._folder.name)
-        self.file, self.log_file = folder / "config.json", folder / "log"
-        self.listen = str(told["listen"])
-        self.mgmt = str(told["mgmt"])
+        self._own = tempfile.TemporaryDirectory(prefix="sidecar-") if folder is None else None
+        where = Path(self._own.name) if self._own is not None else Path(folder or "")
+        self.file, self.log_file = where / f"{label}.json", where / f"{label}.log"
+        self.listen, self.mgmt = str(told["listen"]), str(told["mgmt"])
         self.configure(told)
         environment = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
         with self.log_file.open("wb") as log:
-            self.process = subprocess.Popen(
-                command, cwd=cwd, env=environment | {"PROXY_CONFIG": str(self.file)},
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=end_with_parent,
-            )  # fmt: skip
+            super().__init__(
+                command, environment | {"PROXY_CONFIG": str(self.file)}, cwd, stdout=log, stderr=log
+            )
 
     def configure(self, told: Mapping[str, Any]) -> None:
         self.file.write_bytes(msgspec.json.encode(told))
@@ -89,11 +213,12 @@
         self.end()
 
     async def ready(self) -> None:
-        """Wait until it serves. Raises RigError with what its log last said if it ends, or takes too long."""
+        """Wait until it serves. Raises ProcessError with what its log last said if it ends, or takes too
+        long."""
         until = time.monotonic() + READY_WITHIN
         while time.monotonic() < until:
             if (code := self.process.poll()) is not None:
-                raise RigError(f"the sidecar ended with code {code}: {self.said()}")
+                raise ProcessError(f"the sidecar ended with code {code}: {self.said()}")
             try:
                 status, _ = await asyncio.to_thread(call, self.mgmt, "/api/ready")
             except OSError:
@@ -101,29 +226,13 @@
             if status == 200:
                 return
             await asyncio.sleep(0.05)
-        raise RigError(f"the sidecar was not ready within {READY_WITHIN:.0f} s: {self.said()}")
+        raise ProcessError(f"the sidecar was not ready within {READY_WITHIN:.0f} s: {self.said()}")
 
     def said(self) -> str:
         lines = self.log_file.read_text(errors="replace").splitlines()[-TAIL:]
         return " / ".join(lines) or "its log is empty"
 
-    def cpu(self) -> int:
-        """Nanoseconds of processor time that its threads have used."""
-        tasks = Path(f"/proc/{self.process.pid}/task")
-        return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks.iterdir())
-
-    def memory(self) -> tuple[int, int]:
-        """Bytes resident now: all, and what no other process shares."""
-        _, resident, shared, *_ = map(int, Path(f"/proc/{self.process.pid}/statm").read_text().split())
-        page = os.sysconf("SC_PAGE_SIZE")
-        return resident * page, (resident - shared) * page
-
     def end(self) -> None:
-        if self.process.poll() is None:
-            self.process.terminate()
-            try:
-                self.process.wait(END_WITHIN)
-            except subprocess.TimeoutExpired:
-                self.process.kill()
-                self.process.wait()
-        self._folder.cleanup()
+        super().end()
+        if self._own is not None:
+            self._own.cleanup()
--- /dev/null
+++ b/sprucenotch/rig/remote.py
@@ -0,0 +1,176 @@
+"""The rig's side of stand-ins that are processes of their own: the same calls as of those in its own loop."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from sprucenotch.rig.discovery import Entry
+from sprucenotch.rig.engine import Engine
+from sprucenotch.rig.process import Child, ProcessError
+from sprucenotch.rig.standin import LINE_MOST, Command, EngineSpec, Reply
+from sprucenotch.rig.truth.history import Event, Ran
+
+ANSWER_WITHIN = 10.0  # seconds: a paused one answers when it runs again
+
+
+class Remote:
+    """A stand-in process and the commands to it. What it sees goes to `witness`."""
+
+    def __init__(self, name: str, first: str, witness: Callable[[Any], None]) -> None:
+        self.name, self._first, self._witness = name, first, witness
+        self.child: Child | None = None
+        self._number = 0
+        self._replies: dict[int, asyncio.Future[Any]] = {}
+        self._reader: asyncio.Task[None] | None = None
+
+    async def spawn(self, first: str) -> None:
+        self._first = first
+        command = (sys.executable, "-m", "sprucenotch.rig.standin", first)
+        self.child = Child(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        stream = asyncio.StreamReader(limit=LINE_MOST)
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(stream), self.child.process.stdout)
+        self._reader = loop.create_task(self._read(stream))
+
+    async def _read(self, stream: asyncio.StreamReader) -> None:
+        while line := await stream.readline():
+            if line.startswith(b'{"type"'):
+                self._witness(msgspec.json.decode(line, type=Event))
+            elif line.endswith(b"\n"):  # else it was killed while it wrote
+                reply = msgspec.json.decode(line, type=Reply)
+                waiting = self._replies.pop(reply.number, None)
+                if waiting is not None and not waiting.done():
+                    if reply.problem:
+                        waiting.set_exception(ProcessError(f"{self.name}: {reply.problem}"))
+                    else:
+                        waiting.set_result(reply.value)
+        for waiting in self._replies.values():
+            if not waiting.done():
+                waiting.set_exception(ProcessError(f"{self.name} ended"))
+        self._replies.clear()
+
+    async def call(self, do: str, **args: Any) -> Any:
+        """Raises ProcessError where it ended, or does not answer."""
+        if self.child is None or not self.child.alive or self.child.process.stdin is None:
+            raise ProcessError(f"{self.name} is not there")
+        self._number += 1
+        reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._replies[self._number] = reply
+        try:
+            self.child.process.stdin.write(msgspec.json.encode(Command(self._number, do, args)) + b"\n")
+            self.child.process.stdin.flush()
+            return await asyncio.wait_for(reply, ANSWER_WITHIN)
+        except BrokenPipeError:
+            raise ProcessError(f"{self.name} ended") from None
+        except TimeoutError:
+            raise ProcessError(f"{self.name} did not answer within {ANSWER_WITHIN:.0f} s") from None
+
+    async def kill(self) -> None:
+        if self.child is not None:
+            self.child.kill()
+            if self.child.process.stdin is not None:
+                self.child.process.stdin.close()
+            if self._reader is not None:
+                await self._reader  # what it still wrote counts
+            self.child = None
+
+
+class RemoteEngine:
+    """As `Engine`, in a process of its own. Its death is that process's."""
+
+    def __init__(self, spec: EngineSpec, witness: Callable[[Ran], None]) -> None:
+        self.name, self.zone, self.dial, self.life = spec.name, spec.zone, "", 0
+        self._spec, self._tell = spec, witness
+        self.remote = Remote(spec.name, "", self._saw)
+        self._open: set[str] = set()
+        self.up = self.draining = self.failing = self.silent = False
+        self.slower = 1.0
+        self.served = self.declined = 0
+
+    def _saw(self, ran: Ran) -> None:
+        if ran.step == "begun":
+            self._open.add(ran.id)
+        else:
+            self._open.discard(ran.id)
+        self.served += ran.step == "done"
+        self.declined += ran.step == "declined"
+        self._tell(ran)
+
+    @property
+    def busy(self) -> int:
+        return len(self._open)
+
+    @property
+    def held(self) -> int:
+        return len(self._open)
+
+    async def start(self, cold: bool = False) -> None:
+        if self.up:
+            return
+        spec = msgspec.structs.replace(
+            self._spec, dial=self.dial, life=self.life, seed=self._spec.seed + self.life
+        )
+        await self.remote.spawn("engine " + msgspec.json.encode(spec).decode())
+        self.dial = await self.remote.call("start", cold=cold)
+        self.up, self.draining = True, False
+
+    async def die(self) -> None:
+        if self.up:
+            self.up = False
+            await self.remote.kill()
+            self.life += 1
+            self._open.clear()
+
+    async def tune(self, **troubles: Any) -> None:
+        for name, value in troubles.items():
+            if value is not None:
+                setattr(self, name, value)
+        if self.up:
+            await self.remote.call("tune", **troubles)
+
+
+class RemoteDiscovery:
+    """As `Discovery`, in a process of its own."""
+
+    def __init__(self, witness: Callable[[Event], None], origin: float) -> None:
+        self.remote = Remote("discovery", "", witness)
+        self._origin = origin
+        self.up = False
+
+    async def start(self) -> None:
+        if self.remote.child is None:
+            await self.remote.spawn(f"discovery {self._origin!r}")
+        if not self.up:
+            await self.remote.call("start")
+            self.up = True
+
+    async def die(self) -> None:
+        """It goes down as a service does that loses its machine but not its state."""
+        if self.up:
+            self.up = False
+            await self.remote.call("die")
+
+    async def face(self, sidecar: str) -> str:
+        return str(await self.remote.call("face", sidecar=sidecar))
+
+    async def dials(self, sidecar: str, dials: dict[str, str]) -> None:
+        await self.remote.call("dials", sidecar=sidecar, dials=dials)
+
+    async def late(self, seconds: float) -> None:
+        await self.remote.call("late", seconds=seconds)
+
+    async def tell(self, entry: Entry) -> None:
+        await self.remote.call("tell", entry=entry)
+
+    async def whole(self, sidecar: str = "") -> dict[str, object]:
+        whole: dict[str, object] = await self.remote.call("whole", sidecar=sidecar)
+        return whole
+
+
+AnyEngine = Engine | RemoteEngine
--- /dev/null
+++ b/sprucenotch/rig/stage.py
@@ -0,0 +1,333 @@
+"""The processes of a run and the links between them: built, found by name, and always ended."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import tempfile
+import time
+from collections import Counter, defaultdict
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from sprucenotch.rig.discovery import Discovery, Entry
+from sprucenotch.rig.engine import Cold, Work
+from sprucenotch.rig.faults import OnLinks, OnProcesses, Pause, SlowCpu
+from sprucenotch.rig.net.datagrams import PeerRelays
+from sprucenotch.rig.net.link import Link
+from sprucenotch.rig.net.relay import Relay
+from sprucenotch.rig.plan import SECOND, Class, Plan, chosen, links, names
+from sprucenotch.rig.process import Child, RigError, free_address
+from sprucenotch.rig.remote import AnyEngine, RemoteDiscovery, RemoteEngine
+from sprucenotch.rig.revision import Program, Programs
+from sprucenotch.rig.sidecar import Sidecar
+from sprucenotch.rig.standin import EngineSpec, engine
+from sprucenotch.rig.truth.history import Event
+
+
+class Stage:
+    """Use it as an asynchronous context manager: what it started is ended when it is left, however that
+    is."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        seed: int,
+        folder: Path | None = None,
+        programs: Mapping[str, Program] | None = None,  # of single sidecars, before that of the plan
+    ) -> None:
+        self.plan, self.seed = plan, seed
+        self._own_programs = programs or {}
+        self.rng = random.Random(seed)
+        self.origin = time.monotonic()
+        self.history: list[Event] = []
+        self.programs = Programs()
+        self.engines: dict[str, AnyEngine] = {}  # by place; a new engine in a place has a name of its own
+        self.sidecars: dict[str, Sidecar] = {}
+        self.links: dict[tuple[str, str], Link] = {}
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self.peers: PeerRelays | None = None
+        self.clocks: dict[str, Mapping[str, Any]] = {}  # wrong ones, by sidecar
+        # Held by whoever ends or starts the process of that name: faults overlap.
+        self.locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self.troubles: Counter[tuple[str, str]] = Counter()  # how many faults hold an engine in each
+        self._zones = names(plan.fleet)
+        self._faces: dict[str, str] = {}
+        self._peer_listen: dict[str, str] = {}
+        self._first_list: dict[str, Mapping[str, Any]] = {}
+        self._generation: dict[str, int] = {}
+        self._folder = folder
+        self._temporary: tempfile.TemporaryDirectory[str] | None = None
+        hit = [name for kind in (Pause, SlowCpu) for name in self._hit(kind)]
+        self._engines_apart = plan.fleet.engines_apart or any(n.startswith("engine") for n in hit)
+        apart = plan.fleet.discovery_apart or "discovery" in hit
+        self.discovery: Discovery | RemoteDiscovery = (
+            RemoteDiscovery(self.witness, self.origin) if apart else Discovery(self.witness, self.origin)
+        )
+
+    def _hit(self, kind: type[OnProcesses]) -> list[str]:
+        faults = (fault for fault in self.plan.faults if isinstance(fault, kind))
+        return [name for fault in faults for name in chosen(fault.on, self.plan.fleet)]
+
+    def now(self) -> float:
+        """Seconds since the stage was made, on the machine's monotonic clock."""
+        return time.monotonic() - self.origin
+
+    def witness(self, event: Event) -> None:
+        self.history.append(event)
+
+    # ---- building
+
+    async def __aenter__(self) -> Stage:
+        try:
+            await self._build()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def _build(self) -> None:
+        if self._folder is None:
+            self._temporary = tempfile.TemporaryDirectory(prefix="rig-")
+            self._folder = Path(self._temporary.name)
+        fleet, names_ = self.plan.fleet, [f"sidecar-{n}" for n in range(self.plan.fleet.sidecars)]
+        for fault in self.plan.faults:
+            if isinstance(fault, OnLinks):
+                for source, target in links(fault, fleet):
+                    self.links.setdefault((source, target), Link(source, target))
+        await self.discovery.start()
+        for number in range(fleet.engines):
+            self.engines[f"engine-{number}"] = self._engine(f"engine-{number}")
+        await asyncio.gather(*(one.start() for one in self.engines.values()))
+        for place in self.engines:
+            await self.tell(place)
+        for name in names_:
+            await self._join(name)
+        await self._join_peers(names_)
+        program = self.programs.program(fleet.revision)
+        longest = max(c.deadline for c in self.plan.classes) / SECOND
+        for name in names_:
+            self.sidecars[name] = sidecar = Sidecar(
+                name, self._folder, self._told, self.now, self.witness,
+                lambda on, name=name: self._takes_clients(name, on), longest,  # type: ignore[misc]
+            )  # fmt: skip
+            sidecar.program = self._own_programs.get(name, program)
+            self._first_list[name] = await self.discovery.whole(name)
+            if ("client", name) in self.links:
+                self._relay("client", name)
+        # All are waited for even if one fails: whoever is stopped halfway through its start is an orphan.
+        started = await asyncio.gather(*(s.start() for s in self.sidecars.values()), return_exceptions=True)
+        for outcome in started:
+            if isinstance(outcome, BaseException):
+                raise outcome
+
+    def _engine(self, place: str) -> AnyEngine:
+        fleet = self.plan.fleet
+        generation = self._generation.get(place, 0)
+        self._generation[place] = generation + 1
+        spec = EngineSpec(
+            name=f"{place}.{generation}" if generation else place, zone=self._zones[place],
+            work={c.name: Work(c.work / SECOND, c.spread) for c in self.plan.classes},
+            slots=fleet.slots, queue=fleet.queue, seed=self.rng.getrandbits(32),
+            cold=Cold(fleet.cold_share, fleet.cold_for / SECOND), origin=self.origin,
+        )  # fmt: skip
+        return RemoteEngine(spec, self.witness) if self._engines_apart else engine(spec, self.witness)
+
+    def _target(self, target: str) -> tuple[str, int]:
+        dial = self.engines[target].dial if target in self.engines else self.sidecars[target].listen
+        host, _, port = dial.rpartition(":")
+        return host, int(port)
+
+    def _relay(self, source: str, target: str) -> Relay:
+        old = self.relays.get((source, target))
+        if old is not None:
+            old.close()
+        if target == "discovery":
+            host, _, port = self._faces[source].rpartition(":")
+            address = host, int(port)
+            relay = Relay(self.links[source, target], lambda: address, self.rng.getrandbits(32))
+        else:
+            relay = Relay(self.links[source, target], lambda: self._target(target), self.rng.getrandbits(32))
+        relay.open()
+        self.relays[source, target] = relay
+        return relay
+
+    async def _join(self, name: str) -> None:
+        """The links of a sidecar to engines and discovery."""
+        self._faces[name] = await self.discovery.face(name)
+        if (name, "discovery") in self.links:
+            self._relay(name, "discovery")
+        for place in self.engines:
+            await self._join_engine(name, place)
+
+    async def _join_engine(self, name: str, place: str) -> None:
+        if (name, place) in self.links:
+            relay = self._relay(name, place)
+            await self.discovery.dials(name, {self.engines[place].name: relay.dial})
+
+    async def _join_peers(self, sidecars: list[str]) -> None:
+        if not self.plan.fleet.peers:
+            return
+        self._peer_listen = {name: free_address() for name in sidecars}
+        for source in sidecars:
+            for target in sidecars:
+                if source != target:
+                    self.links.setdefault((source, target), Link(source, target))
+        addresses = {n: (d.partition(":")[0], int(d.partition(":")[2])) for n, d in self._peer_listen.items()}
+        by_name = {f"{s}>{t}": link for (s, t), link in self.links.items()}
+        self.peers = PeerRelays(addresses, by_name, self.rng.getrandbits(32))
+        await self.peers.open()
+
+    def _takes_clients(self, name: str, on: bool) -> None:
+        relay = self.relays.get(("client", name))
+        if relay is not None:
+            if on:
+                relay.open()
+            else:
+                relay.refuse()
+
+    # ---- what is asked of it
+
+    def dial(self, sidecar: str) -> str:
+        """Where the clients of a sidecar connect."""
+        relay = self.relays.get(("client", sidecar))
+        return relay.dial if relay is not None else self.sidecars[sidecar].listen
+
+    def child(self, name: str) -> Child:
+        """The process of that name. Raises RigError where it is none of its own, or is not there."""
+        if name in self.sidecars:
+            return self.sidecars[name].process
+        thing = self.engines.get(name, self.discovery)
+        if isinstance(thing, RemoteEngine | RemoteDiscovery) and thing.remote.child is not None:
+            return thing.remote.child
+        raise RigError(f"{name} is no process at the moment")
+
+    async def tell(self, place: str, health: str = "up", born_ms: int = 0) -> None:
+        """Have discovery list an engine so."""
+        one = self.engines[place]
+        await self.discovery.tell(
+            Entry(
+                host=one.name,
+                dial=one.dial,
+                site=one.zone,
+                block=0,
+                health=health,
+                share=1.0,
+                born_ms=born_ms,
+            )
+        )
+
+    async def engine_ends(self, place: str) -> None:
+        """Its process dies: what it had is lost, and new connections are refused."""
+        await self.engines[place].die()
+        for (_, target), relay in self.relays.items():
+            if target == place:
+                relay.refuse()
+
+    async def engine_starts(self, place: str, cold: bool = True) -> None:
+        """The same engine again, at the same address, with nobody told but by its birth."""
+        await self.engines[place].start(cold=cold)
+        for (_, target), relay in self.relays.items():
+            if target == place:
+                relay.open()
+        await self.tell(place, born_ms=int(time.time() * 1000) if cold else 0)
+
+    async def new_engine(self, place: str) -> None:
+        """Another engine in that place, cold, at an address of its own."""
+        self.engines[place] = made = self._engine(place)
+        await made.start(cold=True)
+        for name in self.sidecars:
+            await self._join_engine(name, place)
+        await self.tell(place, born_ms=int(time.time() * 1000))
+
+    # ---- configuration
+
+    async def _told(self, sidecar: Sidecar, knowing: str) -> Mapping[str, Any]:
+        """What a sidecar is told at a start, in the platform's form."""
+        name, fleet = sidecar.name, self.plan.fleet
+        number = int(name.partition("-")[2])
+        if knowing == "last":
+            known = await self.discovery.whole(name)
+        else:
+            known = (
+                dict(self._first_list[name]) if knowing == "first" else {"seq": 0, "whole": True, "hosts": []}
+            )
+        relay = self.relays.get((name, "discovery"))
+        told: dict[str, Any] = {
+            "name": name, "listen": sidecar.listen, "mgmt": sidecar.next_mgmt,
+            "seed": f"{self.rng.getrandbits(64):x}",
+            "discovery": relay.dial if relay is not None else self._faces[name], "known": known,
+            "limits": {"cores": 1.0, "memory_mb": fleet.memory, "sockets": 1024},
+            "settings": self._settings(number),
+        }  # fmt: skip
+        if self.peers is not None:
+            told |= {
+                "peer_listen": self._peer_listen[name],
+                "peers": [self.peers.dial(name, peer) for peer in self.peers.address],
+                "peers_all": self.peers.dial(name, "*"),
+            }
+        if name in self.clocks:
+            told["clock"] = self.clocks[name]
+        return told
+
+    def _settings(self, number: int) -> dict[str, Any]:
+        fleet, tenants = self.plan.fleet, self.plan.load.tenants
+        total = sum(t.share for t in tenants)
+        return {
+            "Azs": list(fleet.zones), "Zone": number % len(fleet.zones), "Kinds": [],
+            "NInstances": fleet.sidecars, "Position": number, "Discovery": fleet.discovery,
+            "Categories": [_category(one) for one in self.plan.classes],
+            "Orgs": [{"Name": t.name, "Portion": t.share / total, "QuotaPerS": self.plan.rate * t.share /
+            total} for t in tenants],
+            "Limits": {"MaxAttempts": fleet.attempts, "Cancel": True, "Probes": True, "RetryAfter": True,
+                       "Peers": fleet.peers, "MaxRetryAfterNs": SECOND,
+                       "ConnectTimeoutNs": fleet.connect_timeout, "ConnIdleNs": 10 * SECOND},
+            "Deductions": {"Waste": 0.15, "Probe": 0.01},
+            "Rules": {"ColdFrom": fleet.cold_share, "ColdNs": fleet.cold_for, "FallMultiple": 3.0},
+        }  # fmt: skip
+
+    # ---- the end
+
+    def logs(self) -> dict[str, str]:
+        """The end of each sidecar process's log, by name and life."""
+        found = {}
+        for path in sorted(self._folder.glob("*.log")) if self._folder is not None else ():
+            with contextlib.suppress(OSError):
+                found[path.stem] = path.read_bytes()[-LOG_KEPT:].decode(errors="replace")
+        return found
+
+    async def close(self) -> None:
+        for sidecar in self.sidecars.values():
+            sidecar.close()
+        for one in self.engines.values():
+            with contextlib.suppress(RigError):
+                await one.die()
+        with contextlib.suppress(RigError):
+            if isinstance(self.discovery, RemoteDiscovery):
+                await self.discovery.remote.kill()
+            else:
+                await self.discovery.die()
+        for relay in self.relays.values():
+            relay.close()
+        if self.peers is not None:
+            self.peers.close()
+        self.programs.close()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+            self._temporary = None
+
+
+LOG_KEPT = 256 * 1024  # bytes of each
+
+
+def _category(one: Class) -> dict[str, Any]:
+    return {
+        "Name": one.name, "AimNs": one.aim, "HardLimitNs": one.deadline, "Importance": one.worth,
+        "LateWorth": 0.0, "Effect": one.effect, "KeyScope": "all",
+        "WindowNs": one.window if one.effect == "dedup" else 0,
+    }  # fmt: skip
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -19,9 +19,9 @@
 from sprucenotch import settings
 from sprucenotch.config import schema, toml, units
 from sprucenotch.node import config
-from sprucenotch.rig.day import KINDS
-from sprucenotch.rig.fleet import Fleet
-from sprucenotch.rig.process import SidecarProcess, free_address
+from sprucenotch.rig import plan
+from sprucenotch.rig.actions import Faults
+from sprucenotch.rig.stage import Stage
 from sprucenotch.rig.trouble import Troubles
 from tests.sidecar import SETTINGS, configuration, run
 
@@ -138,19 +138,17 @@
 
 def test_status_tells_of_a_running_sidecar_and_says_who_does_not_answer() -> None:
     async def test() -> None:
-        fleet = Fleet(KINDS, engines=3)
-        await fleet.start()
-        with SidecarProcess(fleet.configuration(0, 1, free_address(), free_address())) as process:
-            await process.ready()
-            code, said, _ = await asyncio.to_thread(typed, "status", "--json", process.mgmt)
+        shape = plan.Plan("", 1.0, 0.0, plan.Fleet(sidecars=1, engines=3), plan.Load(), plan.CLASSES)
+        async with Stage(shape, seed=1) as stage:
+            mgmt = stage.sidecars["sidecar-0"].mgmt
+            code, said, _ = await asyncio.to_thread(typed, "status", "--json", mgmt)
             told = json.loads(said)
             assert (code, told["ready"], told["telemetry"]["known_quote_engines"]) == (0, True, 3)
             assert told["metrics"]["engines/known"] == 3
-            code, said, _ = await asyncio.to_thread(typed, "status", process.mgmt)
+            code, said, _ = await asyncio.to_thread(typed, "status", mgmt)
             assert code == 0 and "ready" in said and "place-order" in said
-        fleet.stop()
-        ended, _, complaint = typed("status", process.mgmt)
-        assert ended == 3 and complaint.startswith(f"sprucenotch: nobody answers at {process.mgmt}")
+        ended, _, complaint = typed("status", mgmt)
+        assert ended == 3 and complaint.startswith(f"sprucenotch: nobody answers at {mgmt}")
 
     run(test())
 
@@ -172,19 +170,21 @@
     assert all(outcomes["served"] > 0 for outcomes in told["classes"].values())
 
 
-def test_each_trouble_befalls_engines_of_its_own_and_ends_without_a_trace() -> None:
+def test_troubles_overlap_and_end_without_a_trace() -> None:
     async def test() -> None:
-        fleet = Fleet(KINDS, engines=6)
-        await fleet.start()
-        troubles = Troubles(fleet)
-        await troubles.turn("slow", True)
-        await troubles.turn("dead", True)
-        await troubles.turn("surge", True)
-        states = [(e.up, e.slower > 1) for e in fleet.engines]
-        assert (states.count((True, True)), states.count((False, False)), troubles.load) == (2, 2, 3.0)
-        for name in ("slow", "dead", "surge"):
-            await troubles.turn(name, False)
-        assert all(e.up and e.slower == 1 for e in fleet.engines) and troubles.load == 1.0
-        fleet.stop()
+        shape = plan.Plan("", 1.0, 0.0, plan.Fleet(sidecars=1, engines=6), plan.Load(), plan.CLASSES)
+        async with Stage(shape, seed=1) as stage:
+            faults = Faults(stage)
+            troubles, others = Troubles(faults), Troubles(faults)
+            for turned in (troubles, others):
+                for name in ("slow", "dead", "surge"):
+                    await turned.turn(name, True)
+            engines = stage.engines.values()
+            down, slow = sum(not e.up for e in engines), sum(e.slower > 1 for e in engines)
+            assert 2 <= down <= 4 and 2 <= slow <= 4 and faults.load == 9.0
+            for name in ("surge", "dead", "slow"):
+                await troubles.turn(name, False)
+                await others.turn(name, False)
+            assert all(e.up and e.slower == 1 for e in engines) and faults.load == 1.0
 
     run(test())
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -5,15 +5,11 @@
 import asyncio
 import json
 
-from sprucenotch.rig.client import Clients, Ended, Kind
-from sprucenotch.rig.discovery import Discovery
+from sprucenotch.rig.discovery import Discovery, Entry
 from sprucenotch.rig.engine import DECLINED, Engine, Work
-from sprucenotch.rig.fleet import Fleet
 from sprucenotch.rig.http import Call
-from sprucenotch.rig.process import SidecarProcess, call, free_address
 from tests.sidecar import run
 
-LOOK, BOOK = Kind("look", False, 9.0, 9.0), Kind("book", True, 9.0, 9.0)
 WORK = {b"look": Work(0.001)}
 
 
@@ -39,7 +35,8 @@
         engine, answers = Engine("e", "z", WORK, slots=1, queue=3, seed=1), list[bytes]()
         ask(engine, answers)
         ask(engine, answers)
-        engine.die()
+        engine.up = True
+        await engine.die()
         ask(engine, answers)
         while engine.held:
             await asyncio.sleep(0)
@@ -50,43 +47,25 @@
 
 def watch(discovery: Discovery, query: bytes) -> asyncio.Future[bytes]:
     told: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-    discovery._called(Call(b"GET", b"/discovery/hosts", query, {}, b""), told.set_result)
+    discovery._called("", Call(b"GET", b"/discovery/hosts", query, {}, b""), told.set_result)
     return told
 
 
+def entry(name: str) -> Entry:
+    return Entry(host=name, dial="127.0.0.1:1", site="z", block=0, health="up", share=1.0, born_ms=0)
+
+
 def test_a_watch_waits_for_the_change_and_one_from_nowhere_gets_the_whole_list() -> None:
     async def test() -> None:
-        fleet = Fleet({LOOK: Work(0.001)}, engines=2)
-        discovery = fleet.discovery
-        fleet.tell(fleet.engines[0])
+        discovery = Discovery()
+        await discovery.tell(entry("engine-0"))
         waiting = watch(discovery, b"from=1&hold_ms=9000")
         await asyncio.sleep(0)
         assert not waiting.done()
-        fleet.tell(fleet.engines[1])
+        await discovery.tell(entry("engine-1"))
         told = json.loads((await waiting).partition(b"\r\n\r\n")[2])
         assert (told["seq"], told["whole"], [h["host"] for h in told["hosts"]]) == (2, False, ["engine-1"])
         told = json.loads((await watch(discovery, b"from=77&hold_ms=9000")).partition(b"\r\n\r\n")[2])
         assert told["whole"] and len(told["hosts"]) == 2
 
     run(test())
-
-
-def test_requests_pass_a_real_sidecar_to_the_engines_and_the_figures_agree() -> None:
-    async def test() -> None:
-        fleet = Fleet({LOOK: Work(0.001), BOOK: Work(0.001, 0.5)}, engines=3)
-        await fleet.start()
-        ended: list[Ended] = []
-        told = fleet.configuration(0, 1, free_address(), free_address())
-        with SidecarProcess(told) as process:
-            await process.ready()
-            clients = Clients(process.listen, ended.append)
-            for n in range(30):
-                await clients.ask((LOOK, BOOK)[n % 2])
-            await clients.finish()
-            _, figures = await asyncio.to_thread(call, process.mgmt, "/api/telemetry")
-        fleet.stop()
-        assert [e.outcome for e in ended] == ["served"] * 30
-        assert json.loads(figures)["passed"] == {"look": 15, "book": 15}
-        assert sum(engine.served for engine in fleet.engines) == 30
-
-    run(test())
