--- a/sprucenotch/cli/main.py
+++ b/sprucenotch/cli/main.py
@@ -10,7 +10,7 @@
 import typer
 
 from sprucenotch import __version__
-from sprucenotch.cli import config
+from sprucenotch.cli import config, rig
 from sprucenotch.cli.demo import demo
 from sprucenotch.cli.output import Exit, fail
 from sprucenotch.cli.status import status
@@ -18,9 +18,11 @@
 app = typer.Typer(
     name="sprucenotch", no_args_is_help=True, rich_markup_mode=None, pretty_exceptions_enable=False,
     help="A load balancer that runs as a sidecar beside each client. Exit codes: 0 fine, 1 the answer is no, "
-    "2 bad input, 3 an address cannot be used, 130 interrupted.",
+    "2 bad input, 3 an address cannot be used, 4 the rig was late, 5 a process of a run ended, 6 a store "
+    "cannot be used, 130 interrupted.",
 )  # fmt: skip
 app.add_typer(config.app, name="config")
+app.add_typer(rig.app, name="rig")
 app.command()(status)
 app.command()(demo)
 
--- a/sprucenotch/cli/output.py
+++ b/sprucenotch/cli/output.py
@@ -17,6 +17,9 @@
     NO = 1  # asked and answered: not ready, would be turned down, a rule broken
     BAD_INPUT = 2  # a wrong word, a missing or broken file, a rig that cannot start
     ADDRESS = 3  # in use, refused, or nobody answers there
+    LATE = 4  # the rig did not keep up: the run does not count
+    PROCESS = 5  # a process of a run ended, or did not get ready
+    STORE = 6  # a store cannot be read or written
     INTERRUPTED = 130  # by Ctrl-C or SIGTERM; what was begun is stopped, and what is known is told
 
 
--- a/sprucenotch/rig/engine.py
+++ b/sprucenotch/rig/engine.py
@@ -120,13 +120,17 @@
         self._witness(Ran(at=at, engine=self.name, life=self.life, id=id, key=key, step=step))
 
     def _called(self, call: Call, answer: Answer) -> None:
-        if self.silent:
-            return
         if call.path == b"/alive":
-            answer(response(503 if self.draining else 200))
-        elif call.headers.get(b"req-kind") not in self._work or not call.headers.get(b"req-id"):
+            if not self.silent:
+                answer(response(503 if self.draining else 200))
+            return
+        if call.headers.get(b"req-kind") not in self._work or not call.headers.get(b"req-id"):
             answer(response(404))
-        elif self.draining or (self.busy >= self._slots and len(self._waiting) >= self._most):
+            return
+        self._tell(call, "taken")
+        if self.silent:
+            return
+        if self.draining or (self.busy >= self._slots and len(self._waiting) >= self._most):
             self.declined += 1
             self._tell(call, "declined")
             answer(DECLINED)
--- a/sprucenotch/rig/http.py
+++ b/sprucenotch/rig/http.py
@@ -9,6 +9,7 @@
 import httptools
 
 HOST = "127.0.0.1"
+BACKLOG = 1024
 PHRASES = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 500: b"Internal Server Error",
            503: b"Service Unavailable"}  # fmt: skip
 
@@ -94,7 +95,7 @@
         """Listen; after a `stop` at the same address. Raises OSError if that was taken meanwhile."""
         port = int(self.dial.rpartition(":")[2] or 0)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self._handler, self._opened), HOST, port
+            lambda: Connection(self._handler, self._opened), HOST, port, backlog=BACKLOG
         )
         self.dial = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
 
--- a/sprucenotch/rig/process.py
+++ b/sprucenotch/rig/process.py
@@ -25,6 +25,7 @@
 
 
 SLICE = 0.02  # seconds: a slowed process runs for a part of each
+DESCRIPTORS = 1024  # of a child, as a deployment has it
 MEMORY_MOST = 2_000_000_000  # bytes of address space, so that one gone wild cannot take the machine with it
 
 
@@ -66,6 +67,14 @@
     """Have the kernel end this process when the rig is gone, however that ended, and bound its memory."""
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)  # SIGTERM would wait for one that is stopped
     resource.setrlimit(resource.RLIMIT_AS, (MEMORY_MOST, MEMORY_MOST))
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(DESCRIPTORS, most), most))  # not the rig's own
+
+
+def allow_descriptors() -> None:
+    """Let the rig itself have as many as the machine grants: a relay needs four for each connection."""
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
 
 class Child:
--- a/sprucenotch/rig/remote.py
+++ b/sprucenotch/rig/remote.py
@@ -96,7 +96,7 @@
     def _saw(self, ran: Ran) -> None:
         if ran.step == "begun":
             self._open.add(ran.id)
-        else:
+        elif ran.step != "taken":
             self._open.discard(ran.id)
         self.served += ran.step == "done"
         self.declined += ran.step == "declined"
--- /dev/null
+++ b/sprucenotch/rig/report.py
@@ -0,0 +1,153 @@
+"""A run as one self-contained HTML page: figures, findings with their time lines, plots as SVG."""
+
+from __future__ import annotations
+
+import io
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+from jinja2 import Environment, PackageLoader, StrictUndefined
+from matplotlib import pyplot as plt
+from matplotlib.axes import Axes
+
+from sprucenotch.rig.play import Second
+from sprucenotch.rig.store import Row, Store
+from sprucenotch.rig.summary import OUTCOMES
+from sprucenotch.rig.truth.history import Event, Fault
+
+COLOURS = {"served": "#2b8a3e", "late": "#e8a317", "refused": "#4c78a8", "failed": "#c92a2a"}
+WIDTH, HEIGHT = 10.0, 2.6  # inches
+FINDINGS_MOST = 50  # with their time lines; the others are counted
+
+
+class Band:
+    """A fault over time."""
+
+    def __init__(self, do: str, hits: Sequence[str], begin: float, end: float) -> None:
+        self.do, self.hits, self.begin, self.end = do, hits, begin, end
+
+
+def bands(history: Sequence[Event], end: float) -> list[Band]:
+    """Faults with their times, in the seconds of the first request."""
+    begun: dict[int, Fault] = {}
+    found = []
+    for event in history:
+        if isinstance(event, Fault) and event.on:
+            begun[event.number] = event
+        elif isinstance(event, Fault) and event.number in begun:
+            start = begun.pop(event.number)
+            found.append(Band(start.do, start.hits, start.at, event.at))
+    found += [Band(start.do, start.hits, start.at, end) for start in begun.values()]
+    return sorted(found, key=lambda band: band.begin)
+
+
+def plots(seconds: Sequence[Second], faults: Sequence[Band]) -> dict[str, str]:
+    """SVG by title."""
+    return {
+        "Service, as the clients saw it": _drawn(seconds, faults, _service),
+        "Cuts of the sidecars": _drawn(seconds, faults, _gauge("cut", "level below which it refuses")),
+        "What the engines hold": _drawn(seconds, faults, _engines),
+        "Memory of the sidecars": _drawn(seconds, faults, _gauge("resident_memory_bytes", "MB", 1e6)),
+        "Faults": _faults(seconds, faults),
+    }
+
+
+def _drawn(seconds: Sequence[Second], faults: Sequence[Band], draw: Any) -> str:
+    figure, axes = plt.subplots(figsize=(WIDTH, HEIGHT), layout="constrained")
+    draw(axes, seconds)
+    for band in faults:
+        axes.axvspan(band.begin, band.end, color="#c92a2a", alpha=0.07, lw=0)
+    axes.set_xlim(0, max(second.at for second in seconds))
+    axes.set_xlabel("seconds")
+    axes.grid(alpha=0.3)
+    return _svg(figure)
+
+
+def _svg(figure: Any) -> str:
+    raw = io.StringIO()
+    figure.savefig(raw, format="svg", metadata={"Date": None})
+    plt.close(figure)
+    return raw.getvalue()[raw.getvalue().index("<svg") :]
+
+
+def _service(axes: Axes, seconds: Sequence[Second]) -> None:
+    at, below = [s.at for s in seconds], [0.0] * len(seconds)
+    for outcome in OUTCOMES:
+        counts = [float(sum(n for (_, how), n in s.ended.items() if how == outcome)) for s in seconds]
+        top = [a + b for a, b in zip(below, counts, strict=True)]
+        axes.fill_between(at, below, top, step="pre", color=COLOURS[outcome], label=outcome, alpha=0.85)
+        below = top
+    axes.set_ylabel("requests a second")
+    axes.legend(loc="upper left", ncols=4, fontsize=8)
+
+
+def _gauge(name: str, unit: str, scale: float = 1.0) -> Any:
+    def draw(axes: Axes, seconds: Sequence[Second]) -> None:
+        series: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        for second in seconds:
+            for sidecar, gauges in second.gauges.items():
+                series[sidecar].append((second.at, gauges.get(name, 0.0) / scale))
+        _lines(axes, series)
+        axes.set_ylabel(unit)
+
+    return draw
+
+
+def _engines(axes: Axes, seconds: Sequence[Second]) -> None:
+    series: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for second in seconds:
+        for engine, held in second.held.items():
+            series[engine].append((second.at, float(held)))
+    _lines(axes, series)
+    axes.set_ylabel("requests held")
+
+
+def _lines(axes: Axes, series: Mapping[str, Sequence[tuple[float, float]]]) -> None:
+    for name, points in sorted(series.items()):
+        axes.plot(*zip(*points, strict=True), label=name, lw=1.2, marker="." if len(points) < 3 else "")
+    if 0 < len(series) <= 8:
+        axes.legend(loc="upper left", ncols=4, fontsize=8)
+    axes.set_ylim(bottom=0)
+
+
+def _faults(seconds: Sequence[Second], faults: Sequence[Band]) -> str:
+    height = 0.8 + 0.28 * max(1, len(faults))
+    figure, axes = plt.subplots(figsize=(WIDTH, height), layout="constrained")
+    for row, band in enumerate(faults):
+        axes.barh(row, max(band.end - band.begin, 0.05), left=band.begin, color="#c92a2a", alpha=0.6)
+        axes.text(band.begin, row, f" {band.do}: {_some(band.hits)}", va="center", fontsize=7)
+    axes.set_yticks([])
+    axes.set_ylim(len(faults) - 0.4, -0.6)
+    axes.set_xlim(0, max(second.at for second in seconds))
+    axes.set_xlabel("seconds")
+    return _svg(figure)
+
+
+def _some(names: Sequence[str]) -> str:
+    more = f" and {len(names) - 3} more" if len(names) > 3 else ""
+    return ", ".join(names[:3]) + more
+
+
+def page(store: Store, row: Row) -> str:
+    """The run as HTML."""
+    seconds, history = store.seconds(row.id), store.history(row.id)
+    faults = bands(history, row.result.seconds)
+    environment = Environment(
+        loader=PackageLoader("sprucenotch.rig"), autoescape=True, undefined=StrictUndefined,
+        trim_blocks=True, lstrip_blocks=True,
+    )  # fmt: skip
+    return environment.get_template("report.html").render(
+        row=row, result=row.result, plots=plots(seconds, faults) if seconds else {}, faults=faults,
+        outcomes=OUTCOMES, findings=row.result.findings[:FINDINGS_MOST],
+        more=max(0, len(row.result.findings) - FINDINGS_MOST), some=_some,
+    )  # fmt: skip
+
+
+def write(store: Store, row: Row, to: Path) -> None:
+    """Raises OSError."""
+    to.write_text(page(store, row))
--- a/sprucenotch/rig/revision.py
+++ b/sprucenotch/rig/revision.py
@@ -4,6 +4,7 @@
 
 import compileall
 import contextlib
+import hashlib
 import io
 import subprocess
 import sys
@@ -41,15 +42,18 @@
 
 
 def name(revision: str = "HEAD") -> str:
-    """Its short name; with a + where the tree holds changes. `unknown` outside of a repository."""
+    """Its short name; where the tree holds changes, with a + and what tells these from others. `unknown`
+    outside of a repository. Raises RevisionError on one that is not there."""
     try:
         short = git("rev-parse", "--short", f"{revision}^{{commit}}").decode().strip()
-        changed = revision == "HEAD" and git("status", "--porcelain", "--", "sprucenotch")
+        if revision != "HEAD" or not (changed := git("status", "--porcelain", "--", "sprucenotch")):
+            return short
+        changed += git("diff", "HEAD", "--", "sprucenotch")
     except RevisionError:
         if revision != "HEAD":
             raise
         return "unknown"
-    return f"{short}+" if changed else short
+    return f"{short}+{hashlib.blake2b(changed, digest_size=3).hexdigest()}"
 
 
 class Programs(contextlib.ExitStack):
--- a/sprucenotch/rig/stage.py
+++ b/sprucenotch/rig/stage.py
@@ -19,7 +19,7 @@
 from sprucenotch.rig.net.link import Link
 from sprucenotch.rig.net.relay import Relay
 from sprucenotch.rig.plan import SECOND, Class, Plan, chosen, links, names
-from sprucenotch.rig.process import Child, RigError, free_address
+from sprucenotch.rig.process import Child, RigError, allow_descriptors, free_address
 from sprucenotch.rig.remote import AnyEngine, RemoteDiscovery, RemoteEngine
 from sprucenotch.rig.revision import Program, Programs
 from sprucenotch.rig.sidecar import Sidecar
@@ -92,6 +92,7 @@
         await self.close()
 
     async def _build(self) -> None:
+        allow_descriptors()
         if self._folder is None:
             self._temporary = tempfile.TemporaryDirectory(prefix="rig-")
             self._folder = Path(self._temporary.name)
--- /dev/null
+++ b/sprucenotch/rig/sweep.py
@@ -0,0 +1,87 @@
+"""Many runs: over seeds, over revisions in turns, each a process of its own that writes to one store."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import tempfile
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import IO, NamedTuple
+
+from sprucenotch.rig import revision
+from sprucenotch.rig.process import Child
+from sprucenotch.rig.store import Row, Store
+
+
+class Job(NamedTuple):
+    plan: str  # a file or a shipped scenario, as it was named
+    source: str  # its text
+    seed: int
+    revision: str = ""  # empty for this tree
+
+    @property
+    def known_as(self) -> str:
+        return revision.name(self.revision or "HEAD")
+
+
+class Failed(NamedTuple):
+    job: Job
+    code: int
+    said: str
+
+
+def open_jobs(store: Store, jobs: Sequence[Job]) -> list[Job]:
+    """Those that have no run that counts: a sweep that was ended goes on with these."""
+    done: dict[tuple[str, str], dict[int, Row]] = {}
+    left = []
+    for job in jobs:
+        key = (job.source, job.known_as)
+        if job.seed not in done.setdefault(key, store.done(*key)):
+            left.append(job)
+    return left
+
+
+async def run(store: Path, jobs: Sequence[Job], width: int, each: Callable[[Job], None]) -> list[Failed]:
+    """Run them, so many side by side, in their order; `each` hears of every one that ended. Those that
+    could not be played are returned. SIGINT and SIGTERM end all that is under way and raise
+    KeyboardInterrupt."""
+    loop, stopped, failed = asyncio.get_running_loop(), asyncio.Event(), list[Failed]()
+    queue, children = list(jobs), set[Child]()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+
+    async def worker() -> None:
+        while queue and not stopped.is_set():
+            job = queue.pop(0)
+            words = ["rig", "run", job.plan, "--seed", str(job.seed), "--store", str(store), "--quiet"]
+            if job.revision:
+                words += ["--revision", job.revision]
+            with tempfile.TemporaryFile() as complaints:
+                child = Child((sys.executable, "-m", "sprucenotch", *words), stderr=complaints)
+                children.add(child)
+                code = await child.gone()
+                children.discard(child)
+                if code not in (0, 1, 4) and not stopped.is_set():
+                    failed.append(Failed(job, code, _last_line(complaints)))
+            each(job)
+
+    workers = [asyncio.create_task(worker()) for _ in range(width)]
+    stopping = asyncio.create_task(stopped.wait())
+    await asyncio.wait((asyncio.gather(*workers), stopping), return_when=asyncio.FIRST_COMPLETED)
+    if stopped.is_set():
+        for child in children:
+            child.signal(signal.SIGINT)  # each ends its own processes, and keeps what it has
+        await asyncio.gather(*workers, return_exceptions=True)
+        raise KeyboardInterrupt
+    stopping.cancel()
+    for worker_ in workers:
+        worker_.result()
+    return failed
+
+
+def _last_line(file: IO[bytes]) -> str:
+    file.seek(0)
+    lines = file.read().decode(errors="replace").strip().splitlines()
+    return lines[-1] if lines else "it said nothing"
--- a/sprucenotch/rig/truth/ledger.py
+++ b/sprucenotch/rig/truth/ledger.py
@@ -54,6 +54,7 @@
     """A broken promise, named, with what all sides saw of it."""
 
     rule: str
+    who: str  # the process that broke it
     at: float
     said: str
     time_line: tuple[str, ...] = ()
@@ -77,6 +78,10 @@
         self.history: Sequence[Event] = sorted(history, key=lambda event: event.at)
         self.terms, self.rules = terms, rules
         self.sent = {e.id: e for e in self.of(Sent)}
+        # More than one where a client sent anew over a connection that crossed its close.
+        self.sends: dict[str, list[Sent]] = defaultdict(list)
+        for one in self.of(Sent):
+            self.sends[one.id].append(one)
         self.ended = {e.id: e for e in self.of(Ended)}
         self.ran: dict[str, list[Ran]] = defaultdict(list)
         for event in self.of(Ran):
@@ -157,7 +162,9 @@
         at = ended.at if ended is not None else sent.at if sent is not None else 0.0
         begin = sent.at if sent is not None else at
         sidecar = sent.sidecar if sent is not None else ""
-        return Finding(rule, at, said, self.time_line(id, sidecar=sidecar, around=(begin - 1, at + 1)))
+        return Finding(
+            rule, sidecar, at, said, self.time_line(id, sidecar=sidecar, around=(begin - 1, at + 1))
+        )
 
     def judge(self, invariants: Iterable[Invariant]) -> list[Finding]:
         """Everything that the invariants find, in order of time."""
