Seams for clocks and disks, and a disk that fills, slows, fails and loses power

Need: a clock that is wrong and a disk that loses what was not synced could not be brought to the program; recovery needs both.

--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from sprucenotch import api, settings
-from sprucenotch.settings import Log
+from sprucenotch.settings import Log, WrongClock
 
 Address: TypeAlias = tuple[str, int]
 
@@ -69,6 +69,7 @@
     idle_limit: int  # endpoints close connections that stood idle this long
     known: HostList
     log: Log
+    clock: WrongClock | None  # for tests: none in service
     told: Mapping[str, Any]  # the file itself
 
     def check_complete(self, before: Config) -> None:
@@ -182,6 +183,7 @@
         idle_limit=idle_limit,
         known=known,
         log=told.log,
+        clock=told.clock,
         told=top,
     )
 
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -24,6 +24,7 @@
 from sprucenotch.node.stream import READ_MOST, Budget, Stream
 from sprucenotch.node.telemetry import OUTCOMES, Telemetry
 from sprucenotch.node.upstream import Answer, Attempt, Upstream
+from sprucenotch.seams.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -34,16 +35,6 @@
 HELD_SHARE = 0.5  # of an attempt's time: later, an answer of unknown length is not held to be tried again
 
 
-class Clock:
-    """Monotonic time, anchored once to the wall clock so that all sidecars agree on hours and births."""
-
-    def __init__(self) -> None:
-        self._anchor = time.time_ns() - time.monotonic_ns()
-
-    def now(self) -> int:
-        return time.monotonic_ns() + self._anchor
-
-
 class Host:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._settings = config.settings
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -17,11 +17,12 @@
 from sprucenotch.node.config import Address, Config, ConfigError, load
 from sprucenotch.node.discovery import Discovery
 from sprucenotch.node.frontend import ClientConnection, Frontend
-from sprucenotch.node.host import Clock, Host
+from sprucenotch.node.host import Host
 from sprucenotch.node.log import apply as logging_as
 from sprucenotch.node.log import event, toggle
 from sprucenotch.node.management import Management
 from sprucenotch.node.peers import Peers
+from sprucenotch.seams import clock
 
 ACCEPT_ON = 0.6  # after SIGTERM new connections come for 0.2 to 0.4 s more
 BACKLOG = 512
@@ -34,7 +35,8 @@
 async def serve(config: Config) -> None:
     """Serve until SIGTERM or SIGINT; then finish what was taken."""
     loop = asyncio.get_running_loop()
-    host = Host(config, loop, Clock())
+    amiss = config.clock
+    host = Host(config, loop, clock.wrong(amiss.offset_ns, amiss.drift_ppm) if amiss else clock.Clock())
     frontend = Frontend(config, host, loop)
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/sprucenotch/rig/actions.py
+++ b/sprucenotch/rig/actions.py
@@ -22,6 +22,7 @@
 
 
 class Begun(NamedTuple):
+    befalls: tuple[str, ...]
     hits: tuple[str, ...]  # processes and links whose doings prove nothing meanwhile
     heal: Heal
 
@@ -43,7 +44,7 @@
         rng = random.Random(f"{self.stage.seed} {number}")
         begun = await self._begin(number, fault, rng)
         self._on[number] = (do, begun)
-        self._tell(number, do, begun.hits, True)
+        self._tell(number, do, begun, True)
         if isinstance(fault, faults.SELF_ENDING):
             await self.heal(number)
         return number
@@ -53,14 +54,18 @@
         if number in self._on:
             do, begun = self._on.pop(number)
             await begun.heal()
-            self._tell(number, do, begun.hits, False)
+            self._tell(number, do, begun, False)
 
     async def heal_all(self) -> None:
         for number in tuple(self._on):
             await self.heal(number)
 
-    def _tell(self, number: int, do: str, hits: tuple[str, ...], on: bool) -> None:
-        self.stage.witness(history.Fault(at=self.stage.now(), number=number, do=do, hits=hits, on=on))
+    def _tell(self, number: int, do: str, begun: Begun, on: bool) -> None:
+        self.stage.witness(
+            history.Fault(
+                at=self.stage.now(), number=number, do=do, befalls=begun.befalls, hits=begun.hits, on=on
+            )
+        )  # fmt: skip
 
     async def _begin(self, number: int, fault: Fault, rng: random.Random) -> Begun:
         if isinstance(fault, OnLinks):
@@ -84,7 +89,8 @@
             for pair in pairs:
                 self.stage.links[pair].heal(number)
 
-        return Begun(tuple(f"{source}>{target}" for source, target in pairs), heal)
+        befalls = tuple(f"{source}>{target}" for source, target in pairs)
+        return Begun(befalls, befalls, heal)
 
     async def _on_processes(self, fault: OnProcesses, hit: Sequence[str]) -> Begun:
         stage = self.stage
@@ -116,7 +122,7 @@
             else:
                 await discovery.start()
 
-        return Begun(("discovery",), heal)
+        return Begun(("discovery",), ("discovery",), heal)
 
     def _surge(self, number: int, fault: faults.Surge) -> Begun:
         self._surges[number] = float(fault.times)
@@ -126,7 +132,7 @@
             del self._surges[number]
             self._settle()
 
-        return Begun((), heal)
+        return Begun(("client",), (), heal)
 
     def _settle(self) -> None:
         self.load = 1.0
@@ -176,7 +182,7 @@
             if child.alive:
                 end(child)
 
-    return Begun(tuple(hit), heal)
+    return Begun(tuple(hit), tuple(hit), heal)
 
 
 def _wrong_clocks(stage: Stage, fault: faults.WrongClock, hit: Sequence[str]) -> Begun:
@@ -187,7 +193,7 @@
         for name in hit:
             stage.clocks.pop(name, None)
 
-    return Begun((), heal)
+    return Begun(tuple(hit), (), heal)
 
 
 async def _trouble(stage: Stage, fault: faults.Engines, hit: Sequence[str]) -> Begun:
@@ -213,7 +219,7 @@
         for name in hit:
             await turn(name, False)
 
-    return Begun((), heal)
+    return Begun(tuple(hit), (), heal)
 
 
 def _staggered(
@@ -236,7 +242,7 @@
             for task in tasks:
                 task.cancel()
 
-    return Begun((), heal)
+    return Begun(tuple(hit), (), heal)
 
 
 async def _restart(stage: Stage, fault: faults.Restart, name: str) -> None:
--- a/sprucenotch/rig/play.py
+++ b/sprucenotch/rig/play.py
@@ -48,6 +48,7 @@
     title: str
     seed: int
     revision: str
+    began: float  # of its history, the time of the first request
     seconds: float
     summary: Summary
     findings: Sequence[Finding]
@@ -237,7 +238,8 @@
         p99 = statistics.quantiles(late, n=100)[98] if len(late) > 1 else late[0]
         return Result(
             title=plan.title, seed=self.seed, revision=revision.name(plan.fleet.revision or "HEAD"),
-            seconds=self.stage.now(), summary=summarize(ledger.history, plan.classes), findings=findings,
+            began=self.began - self.stage.origin, seconds=self.stage.now(),
+            summary=summarize(ledger.history, plan.classes), findings=findings,
             judged=dict(ledger.judged), excused=dict(ledger.excused),
             faults=[str(step.fault.__struct_config__.tag) for step in self._steps],
             lateness={"median": statistics.median(late), "p99": p99, "most": late[-1]},
--- a/sprucenotch/rig/report.py
+++ b/sprucenotch/rig/report.py
@@ -28,12 +28,13 @@
 class Band:
     """A fault over time."""
 
-    def __init__(self, do: str, hits: Sequence[str], begin: float, end: float) -> None:
-        self.do, self.hits, self.begin, self.end = do, hits, begin, end
+    def __init__(self, fault: Fault, began: float, end: float) -> None:
+        self.do, self.befalls = fault.do, fault.befalls
+        self.begin, self.end = fault.at - began, end - began
 
 
-def bands(history: Sequence[Event], end: float) -> list[Band]:
-    """Faults with their times, in the seconds of the first request."""
+def bands(history: Sequence[Event], began: float, end: float) -> list[Band]:
+    """Faults over time, in seconds since the first request, which `began` is in the history."""
     begun: dict[int, Fault] = {}
     found = []
     for event in history:
@@ -41,8 +42,8 @@
             begun[event.number] = event
         elif isinstance(event, Fault) and event.number in begun:
             start = begun.pop(event.number)
-            found.append(Band(start.do, start.hits, start.at, event.at))
-    found += [Band(start.do, start.hits, start.at, end) for start in begun.values()]
+            found.append(Band(start, began, event.at))
+    found += [Band(start, began, end) for start in begun.values()]
     return sorted(found, key=lambda band: band.begin)
 
 
@@ -52,7 +53,7 @@
         "Service, as the clients saw it": _drawn(seconds, faults, _service),
         "Cuts of the sidecars": _drawn(seconds, faults, _gauge("cut", "level below which it refuses")),
         "What the engines hold": _drawn(seconds, faults, _engines),
-        "Memory of the sidecars": _drawn(seconds, faults, _gauge("resident_memory_bytes", "MB", 1e6)),
+        "Memory of the sidecars": _drawn(seconds, faults, _gauge("resident_memory_bytes", "MB", 1e6, False)),
         "Faults": _faults(seconds, faults),
     }
 
@@ -83,10 +84,10 @@
         axes.fill_between(at, below, top, step="pre", color=COLOURS[outcome], label=outcome, alpha=0.85)
         below = top
     axes.set_ylabel("requests a second")
-    axes.legend(loc="upper left", ncols=4, fontsize=8)
+    _legend(axes)
 
 
-def _gauge(name: str, unit: str, scale: float = 1.0) -> Any:
+def _gauge(name: str, unit: str, scale: float = 1.0, from_zero: bool = True) -> Any:
     def draw(axes: Axes, seconds: Sequence[Second]) -> None:
         series: dict[str, list[tuple[float, float]]] = defaultdict(list)
         for second in seconds:
@@ -94,6 +95,8 @@
                 series[sidecar].append((second.at, gauges.get(name, 0.0) / scale))
         _lines(axes, series)
         axes.set_ylabel(unit)
+        if from_zero:
+            axes.set_ylim(bottom=0)
 
     return draw
 
@@ -105,14 +108,18 @@
             series[engine].append((second.at, float(held)))
     _lines(axes, series)
     axes.set_ylabel("requests held")
+    axes.set_ylim(bottom=0)
 
 
 def _lines(axes: Axes, series: Mapping[str, Sequence[tuple[float, float]]]) -> None:
     for name, points in sorted(series.items()):
         axes.plot(*zip(*points, strict=True), label=name, lw=1.2, marker="." if len(points) < 3 else "")
     if 0 < len(series) <= 8:
-        axes.legend(loc="upper left", ncols=4, fontsize=8)
-    axes.set_ylim(bottom=0)
+        _legend(axes)
+
+
+def _legend(axes: Axes) -> None:
+    axes.legend(loc="lower left", bbox_to_anchor=(0, 1), ncols=8, fontsize=8, frameon=False)
 
 
 def _faults(seconds: Sequence[Second], faults: Sequence[Band]) -> str:
@@ -120,7 +127,7 @@
     figure, axes = plt.subplots(figsize=(WIDTH, height), layout="constrained")
     for row, band in enumerate(faults):
         axes.barh(row, max(band.end - band.begin, 0.05), left=band.begin, color="#c92a2a", alpha=0.6)
-        axes.text(band.begin, row, f" {band.do}: {_some(band.hits)}", va="center", fontsize=7)
+        axes.text(band.begin, row, f" {band.do}: {_some(band.befalls)}", va="center", fontsize=7)
     axes.set_yticks([])
     axes.set_ylim(len(faults) - 0.4, -0.6)
     axes.set_xlim(0, max(second.at for second in seconds))
@@ -136,7 +143,7 @@
 def page(store: Store, row: Row) -> str:
     """The run as HTML."""
     seconds, history = store.seconds(row.id), store.history(row.id)
-    faults = bands(history, row.result.seconds)
+    faults = bands(history, row.result.began, row.result.seconds)
     environment = Environment(
         loader=PackageLoader("sprucenotch.rig"), autoescape=True, undefined=StrictUndefined,
         trim_blocks=True, lstrip_blocks=True,
--- a/sprucenotch/rig/truth/history.py
+++ b/sprucenotch/rig/truth/history.py
@@ -84,11 +84,12 @@
 
 
 class Fault(Happening, frozen=True, kw_only=True):
-    """A fault begins or is healed. `hits` names the processes and the links ("a>b") that it touches."""
+    """A fault begins or is healed. Processes by name, links as "a>b"."""
 
     number: int
     do: str
-    hits: tuple[str, ...]
+    befalls: tuple[str, ...]
+    hits: tuple[str, ...]  # of these, or besides: whose doings prove nothing meanwhile
     on: bool
 
 
--- /dev/null
+++ b/sprucenotch/seams/clock.py
@@ -0,0 +1,39 @@
+"""Time as the program reads it. In service it is the machine's own."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+MILLION = 1_000_000
+
+
+class Clock:
+    """Monotonic time, anchored once to the wall clock so that all sidecars agree on hours and births. A wall
+    clock that jumps later moves nothing."""
+
+    def __init__(
+        self, wall: Callable[[], int] = time.time_ns, monotonic: Callable[[], int] = time.monotonic_ns
+    ) -> None:
+        self._monotonic = monotonic
+        self._anchor = wall() - monotonic()
+
+    def now(self) -> int:
+        """Nanoseconds of Unix time."""
+        return self._monotonic() + self._anchor
+
+
+def wrong(
+    offset: int,
+    drift_ppm: float,
+    wall: Callable[[], int] = time.time_ns,
+    monotonic: Callable[[], int] = time.monotonic_ns,
+) -> Clock:
+    """A clock whose machine is `offset` nanoseconds ahead and runs fast by so many millionths; for tests, by
+    configuration."""
+    began = monotonic()
+
+    def drift() -> int:
+        return int((monotonic() - began) * drift_ppm / MILLION)
+
+    return Clock(lambda: wall() + offset + drift(), lambda: monotonic() + drift())
--- a/sprucenotch/settings.py
+++ b/sprucenotch/settings.py
@@ -200,6 +200,15 @@
     access_per_s: Share = 0  # requests told of, a second at most; the others are counted
 
 
+class WrongClock(Struct, frozen=True):
+    """The clock of a machine that is wrong, for tests. Absent in service."""
+
+    offset_ns: Annotated[int, Meta(description="a whole number")] = 0
+    drift_ppm: Annotated[
+        Annotated[float, Meta(ge=-100_000, le=100_000)], Meta(description="a number from -100000 to 100000")
+    ] = 0
+
+
 class File(Struct, frozen=True):
     """A configuration file, whole. Source: the deployment's page, "What a sidecar is told"."""
 
@@ -215,6 +224,7 @@
     peer_listen: Address | None = None
     peers: Annotated[tuple[Address, ...] | None, Meta(description="a list of addresses")] = ()
     peers_all: Address | None = None
+    clock: WrongClock | None = None
 
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -15,7 +15,8 @@
 from sprucenotch.node import config
 from sprucenotch.node.discovery import Discovery
 from sprucenotch.node.frontend import ClientConnection, Frontend
-from sprucenotch.node.host import Clock, Host
+from sprucenotch.node.host import Host
+from sprucenotch.seams.clock import Clock
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 WAIT = 20.0  # a hang fails the test; no test passes or fails by a shorter time
--- /dev/null
+++ b/tests/test_seams.py
@@ -0,0 +1,148 @@
+"""Clocks and disks that tests can break: the model of a disk against a real one, what a power cut leaves."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucenotch.rig.volume import SECTOR, Recorded, Volume, replay
+from sprucenotch.seams import clock
+from sprucenotch.seams.disk import Disk, RealDisk
+
+NAMES = st.sampled_from("abc")
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("write"), NAMES, st.binary(max_size=1500)),
+        st.tuples(st.just("anew"), NAMES, st.binary(max_size=20)),
+        st.tuples(st.just("truncate"), NAMES, st.integers(0, 2000)),
+        st.tuples(st.just("rename"), NAMES, NAMES),
+        st.tuples(st.just("remove"), NAMES, st.none()),
+        st.tuples(st.just("sync"), NAMES, st.none()),
+    ),
+    max_size=20,
+)
+
+
+def carry_out(disk: Disk, steps: list[tuple[str, str, Any]]) -> list[object]:
+    """What each step said, and all files at the end."""
+    said: list[object] = []
+    for do, name, told in steps:
+        try:
+            if do == "rename":
+                disk.rename(name, told)
+            elif do == "remove":
+                disk.remove(name)
+            else:
+                file = disk.open(name, anew=do == "anew")
+                if do == "truncate":
+                    file.truncate(told)
+                elif do == "sync":
+                    file.sync()
+                else:
+                    file.write(told)
+                file.close()
+            said.append("done")
+        except OSError as problem:
+            said.append(problem.errno)
+    return [*said, {name: disk.read(name) for name in disk.names()}]
+
+
+@given(STEPS)
+def test_the_model_and_what_a_record_replays_do_what_a_real_disk_does(
+    steps: list[tuple[str, str, Any]],
+) -> None:
+    with TemporaryDirectory() as folder, TemporaryDirectory() as beside:
+        recorded = Recorded(RealDisk(Path(folder)), Path(beside, "record"))
+        expected = carry_out(recorded, steps)
+        assert carry_out(Volume(), steps) == expected
+        volume = replay(Path(beside, "record").read_bytes())
+        assert {name: volume.read(name) for name in volume.names()} == expected[-1]
+
+
+@given(STEPS, st.integers(0, 2**32))
+def test_what_was_made_durable_survives_a_power_cut(steps: list[tuple[str, str, Any]], seed: int) -> None:
+    volume = Volume()
+    carry_out(volume, steps)
+    for name in volume.names():
+        volume.open(name).sync()
+    volume.sync_names()
+    before = {name: volume.read(name) for name in volume.names()}
+    more = volume.open("more")
+    more.write(b"x" * 3 * SECTOR)
+    volume.crash(seed)
+    after = {name: volume.read(name) for name in volume.names()}
+    torn = after.pop("more", b"")
+    assert after == before
+    sectors = [torn[at : at + SECTOR] for at in range(0, len(torn), SECTOR)]
+    assert all(set(sector) in ({0}, {ord("x")}) for sector in sectors)
+
+
+def replace(volume: Volume, data: bytes, leave_out: str) -> None:
+    """Put a file in the place of another, with one of the precautions forgotten."""
+    file = volume.open("new", anew=True)
+    file.write(data)
+    if leave_out != "sync":
+        file.sync()
+    file.close()
+    if leave_out == "rename":
+        held = volume.open("held", anew=True)
+        held.write(data)
+        held.sync()
+        return
+    volume.rename("new", "held")
+    if leave_out != "sync names":
+        volume.sync_names()
+
+
+@pytest.mark.parametrize("leave_out", ["nothing", "sync", "sync names", "rename"])
+def test_a_power_cut_finds_the_precaution_that_was_forgotten(leave_out: str) -> None:
+    old, new = b"o" * 2000, b"n" * 2000
+    outcomes = set()
+    for seed in range(60):
+        volume = Volume()
+        replace(volume, old, "nothing")
+        replace(volume, new, leave_out)
+        if leave_out == "rename":  # power goes before the last sync
+            volume.open("held", anew=True).write(new)
+        volume.crash(seed)
+        outcomes.add(volume.read("held"))
+    if leave_out == "nothing":
+        assert outcomes == {new}
+    elif leave_out == "sync names":  # the reply was that it is kept, and it is not
+        assert outcomes == {old, new}
+    else:
+        assert outcomes - {old, new}
+
+
+def test_a_full_disk_takes_a_part_and_a_failed_sync_leaves_its_writes_in_doubt_for_good() -> None:
+    found = set()
+    for seed in range(40):
+        volume = Volume()
+        file = volume.open("a")
+        volume.sync_names()
+        volume.room = 700
+        with pytest.raises(OSError, match="No space"):
+            file.write(b"x" * 1000)
+        assert volume.read("a") == b"x" * 700
+        volume.room, volume.failing = None, {"sync"}
+        with pytest.raises(OSError, match="Input/output"):
+            file.sync()
+        volume.failing = set()
+        file.sync()  # says that all is well, and has written nothing
+        volume.crash(seed)
+        found.add(len(volume.read("a").strip(b"\0")))
+    assert found > {0}
+
+
+def test_a_wrong_clock_is_off_by_what_it_was_told_and_drifts() -> None:
+    times = [1000]
+    right = clock.Clock(lambda: times[0] + 70, lambda: times[0])
+    fast = clock.wrong(500, 100_000.0, lambda: times[0] + 70, lambda: times[0])
+    assert (right.now(), fast.now()) == (1070, 1570)
+    times[0] = 2000
+    assert (right.now(), fast.now()) == (2070, 2670)
