The test of the disk against a real one has no deadline for a sync

Cause: on a busy machine one example took 0.8 s of real syncs, over hypothesis's 0.2 s: 1 of 6 runs failed. Change: no deadline for that test, 50 examples.

--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sprucenotch.rig.volume import SECTOR, Recorded, Volume, replay
@@ -52,6 +52,7 @@
     return [*said, {name: disk.read(name) for name in disk.names()}]
 
 
+@settings(deadline=None, max_examples=50)  # a real disk takes the time it takes
 @given(STEPS)
 def test_the_model_and_what_a_record_replays_do_what_a_real_disk_does(
     steps: list[tuple[str, str, Any]],
