Rig: a list counts as told where it was delivered, or 6 s after where discovery is pushed

Need: the stand-in told of lists that it wrote to connections the sidecar had closed, and the ledger had no bound by which a change counts as told.

--- a/sprucenotch/rig/actions.py
+++ b/sprucenotch/rig/actions.py
@@ -122,7 +122,7 @@
             else:
                 await discovery.start()
 
-        return Begun(("discovery",), ("discovery",), heal)
+        return Begun(("discovery",), () if fault.late else ("discovery",), heal)
 
     def _surge(self, number: int, fault: faults.Surge) -> Begun:
         self._surges[number] = float(fault.times)
--- a/sprucenotch/rig/discovery.py
+++ b/sprucenotch/rig/discovery.py
@@ -132,5 +132,5 @@
         if self._late:
             await asyncio.sleep(self._late)
         told = self._since(sidecar, version)
-        answer(response(200, msgspec.json.encode(told)))
-        self._witness(Told(at=self._now(), sidecar=sidecar, version=self.version))
+        if answer(response(200, msgspec.json.encode(told))) is not False:
+            self._witness(Told(at=self._now(), sidecar=sidecar, version=self.version))
--- a/sprucenotch/rig/http.py
+++ b/sprucenotch/rig/http.py
@@ -24,7 +24,7 @@
     body: bytes
 
 
-Answer: TypeAlias = Callable[[bytes], None]
+Answer: TypeAlias = Callable[[bytes], bool | None]  # False: nobody is there to get it any more
 Handler: TypeAlias = Callable[[Call, Answer], None]
 
 
@@ -54,9 +54,11 @@
             self.answer(response(400))
             self.abort()
 
-    def answer(self, raw: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(raw)
+    def answer(self, raw: bytes) -> bool:
+        if self._transport is None or self._transport.is_closing():
+            return False
+        self._transport.write(raw)
+        return True
 
     def abort(self) -> None:
         if self._transport is not None:
--- a/sprucenotch/rig/play.py
+++ b/sprucenotch/rig/play.py
@@ -232,7 +232,10 @@
         terms = {
             c.name: Terms(c.effect, c.window / SECOND, c.aim / SECOND, float(c.worth)) for c in plan.classes
         }
-        ledger = Ledger(history, terms, Rules(attempts=plan.fleet.attempts))
+        rules = Rules(attempts=plan.fleet.attempts)
+        if plan.fleet.discovery != "pushed":
+            rules = rules._replace(told_within=None)
+        ledger = Ledger(history, terms, rules)
         findings = ledger.judge(self._invariants)
         late = sorted(self.load.late if self.load is not None else [0.0]) or [0.0]
         p99 = statistics.quantiles(late, n=100)[98] if len(late) > 1 else late[0]
--- a/sprucenotch/rig/truth/ledger.py
+++ b/sprucenotch/rig/truth/ledger.py
@@ -18,6 +18,7 @@
     Event,
     Fault,
     Lag,
+    Listed,
     Process,
     Ran,
     Sent,
@@ -47,6 +48,8 @@
     attempts: int = 3
     answer_slack: float = 0.07
     drain_grace: float = 0.55
+    # Where discovery is pushed: what it has to tell counts as told by then, whether or not it arrived.
+    told_within: float | None = 6.0
     taken_after_term: float = 0.7  # what comes later after a SIGTERM may be lost
 
 
@@ -93,6 +96,8 @@
         self.excused = Counter[str]()
         self._disturbed = self._read_faults()
         self._lags = [(e.at, e.late) for e in self.of(Lag) if e.late >= LATE_LEAST]
+        listed = list(self.of(Listed))
+        self._listed = [e.at for e in listed], [e.version for e in listed]
         self._told: dict[str, tuple[list[float], list[int]]] = {}
         for told in self.of(Told):
             times, versions = self._told.setdefault(told.sidecar, ([], []))
@@ -130,6 +135,12 @@
         place = bisect_right(times, at)
         return versions[place - 1] if place else -1
 
+    def listed(self, at: float) -> int:
+        """The version that discovery had by then; -1 for none."""
+        times, versions = self._listed
+        place = bisect_right(times, at)
+        return versions[place - 1] if place else -1
+
     def told_between(self, sidecar: str, begin: float, end: float) -> list[int]:
         times, versions = self._told.get(sidecar, ([], []))
         return versions[bisect_left(times, begin) : bisect_right(times, end)]
