Rig: tests of runs kept, gone on with, compared and interrupted; a resend blurs the tries

Need: the commands had been tried by hand only. The smoke found a check that was wrong: requests that were sent anew after a kill were counted for the new process, though a paused engine had them from the old one.

--- /dev/null
+++ b/tests/test_runs.py
@@ -0,0 +1,138 @@
+"""Runs kept, gone on with, compared, interrupted; and what cannot go on says so in a line."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+import pytest
+import uvloop
+
+from sprucenotch.cli.rig import SCENARIOS, load
+from sprucenotch.rig import plan, report, soak
+from sprucenotch.rig.compare import compare
+from sprucenotch.rig.play import Play, Result, Second
+from sprucenotch.rig.process import ProcessError, RigError
+from sprucenotch.rig.revision import ROOT, Program
+from sprucenotch.rig.store import Row, Store, StoreError
+from sprucenotch.rig.summary import Summary
+from sprucenotch.rig.sweep import Job, open_jobs
+
+SMOKE = """
+title = "a little of everything"
+length = "3s"
+settle = "100ms"
+fleet = { sidecars = 2, engines = 4, engines_apart = true, discovery_apart = true, peers = true }
+load = { repeat = "after", tenants = [{ name = "acme", share = 1.0 }] }
+step = [
+    { do = "pause", on = "engine-0", at = "300ms", lasts = "500ms" },
+    { do = "cut", source = "sidecar-0", target = "engine-1", at = "500ms", lasts = "500ms" },
+    { do = "restart", on = "sidecar-1", how = "kill", knowing = "first", at = "700ms" },
+    { do = "replace", on = "engine-2", notice = "200ms", at = "800ms" },
+    { do = "datagrams", source = "sidecar-0", target = "sidecar-1", lost = 0.5, at = "0s", lasts = "1s" },
+    { do = "delay", source = "client", target = "sidecar-0", by = "5ms", at = "1s", lasts = "500ms" },
+    { do = "slow cpu", on = "sidecar-0", cpu = 0.5, at = "1500ms", lasts = "300ms" },
+    { do = "discovery", at = "1800ms", lasts = "300ms" },
+]
+"""
+
+
+def test_a_smoke_of_most_faults_breaks_no_promise_and_makes_a_page(tmp_path: Path) -> None:
+    play = Play(plan.decode(SMOKE.encode()), seed=1)
+    result = uvloop.run(play.run())
+    assert result.findings == [] and result.summary.outcomes["served"] > 100
+    assert {"lost", "overdue", "not made", "telemetry untrue"} <= {r for r, n in result.judged.items() if n}
+    with Store(tmp_path / "runs") as store:
+        store.add(SMOKE, result, play.seconds, play.stage.history, play.logs)
+        [row] = store.rows()
+        assert row.result == result and store.history(row.id) == play.stage.history
+        assert store.seconds(row.id) == play.seconds and "sidecar-1.1" in store.logs(row.id)
+        page = report.page(store, row)
+    assert page.count("<svg") == 5 and "http-equiv" not in page and "<script" not in page
+
+
+def result(seed: int, worth: float, revision: str = "r") -> Result:
+    return Result(
+        title="t", seed=seed, revision=revision, began=0.0, seconds=1.0,
+        summary=Summary(worth, {}), findings=[],
+        judged={}, excused={}, faults=[], lateness={"median": 0.0, "p99": 0.0, "most": 0.0}, held_back=0,
+        interrupted=False,
+    )  # fmt: skip
+
+
+def test_a_sweep_goes_on_where_it_was_and_a_full_store_loses_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sprucenotch.rig.revision.name", lambda revision: "r")
+    with Store(tmp_path / "runs") as store:
+        store.add("a", result(1, 0.5))
+        store.add("a", msgspec.structs.replace(result(2, 0.5), interrupted=True))
+        store.add("b", result(3, 0.5))
+        left = open_jobs(store, [Job("a", "a", seed) for seed in (1, 2, 3)])
+        assert [job.seed for job in left] == [2, 3]
+        store._base.execute("PRAGMA max_page_count = 12")
+        with pytest.raises(StoreError, match="full"):
+            store.add("a", result(4, 0.5), logs={"x": os.urandom(100_000).hex()})
+        assert [row.result.seed for row in store.rows()] == [1, 2, 3]
+    (tmp_path / "none").mkdir()
+    with pytest.raises(StoreError):
+        Store(tmp_path / "none")
+
+
+def test_a_difference_is_shown_where_there_is_one_and_not_where_chance_makes_it() -> None:
+    def rows(worths: list[float]) -> dict[int, Row]:
+        return {seed: Row(seed, "", "", True, result(seed, worth)) for seed, worth in enumerate(worths)}
+
+    noise = [0.01, -0.02, 0.015, -0.01, 0.005, -0.005, 0.02, -0.015]
+    first = rows([0.8 + n for n in noise])
+    worse = compare(first, rows([0.7 + n for n in reversed(noise)]))
+    same = compare(first, rows([0.8 + n for n in reversed(noise)]))
+    assert worse.shown and worse.low <= worse.difference <= worse.high < 0
+    assert not same.shown and same.pairs == 8
+    with pytest.raises(RigError, match="too few"):
+        compare(first, rows([0.8]))
+
+
+@pytest.mark.parametrize(("grows", "found"), [(0.0, set()), (0.5, {"memory grow"})])
+def test_a_soak_finds_memory_that_grows_in_the_second_half(grows: float, found: set[str]) -> None:
+    seconds = []
+    for n in range(1, 101):
+        memory = 30e6 + grows * 1e5 * max(0, n - 50)
+        gauges = {"sidecar-0": {"resident_memory_bytes": memory, "open_descriptors": 20.0 + n % 5}}
+        seconds.append(Second(float(n), Counter(), {}, {}, {}, gauges))
+    assert {finding.rule for finding in soak.judge(seconds)} == found
+
+
+def test_a_sidecar_that_ends_instead_of_serving_ends_the_run_with_its_words() -> None:
+    programs = {"sidecar-0": Program((sys.executable, "-c", "raise SystemExit('no such thing')"))}
+    with pytest.raises(ProcessError, match=r"sidecar-0: .* code 1: no such thing"):
+        uvloop.run(Play(plan.decode(SMOKE.encode()), 1, programs=programs).run())
+
+
+def test_an_interrupted_run_keeps_what_it_has_and_leaves_no_process(tmp_path: Path) -> None:
+    store = tmp_path / "runs"
+    words = ("rig", "run", "paused-process", "--store", str(store))
+    with subprocess.Popen(
+        (sys.executable, "-m", "sprucenotch", *words), cwd=ROOT, stdout=subprocess.PIPE, text=True
+    ) as running:
+        assert running.stdout is not None
+        running.stdout.readline()  # its first second is over
+        children = Path(f"/proc/{running.pid}/task/{running.pid}/children").read_text().split()
+        running.send_signal(signal.SIGINT)
+        said = running.stdout.read()
+    assert running.returncode == 130 and "interrupted" in said
+    assert len(children) >= 4 and not any(Path(f"/proc/{child}").exists() for child in children)
+    with Store(store) as kept:
+        [row] = kept.rows()
+    assert row.result.interrupted and not row.counts
+
+
+def test_every_shipped_scenario_can_be_played() -> None:
+    shipped = sorted(SCENARIOS.glob("*.toml"))
+    assert len(shipped) >= 10
+    assert all(load(path.stem).length > 0 for path in shipped)
