A process that was told nothing yet asks what is new by now, and only then watches

Cause: where discovery is asked, the first call of a process was a watch that holds for 20 s. On a list that is the newest it says nothing, so a successor knew nothing from discovery and said ready by its patience. The suspected spread of the first call is a part, not the cause. Change: the first watch holds for 0 s; once discovery has told anything it holds as before. The new test fails without the change.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -92,12 +92,15 @@
         ask anew."""
         while True:
             asked = self._seq
-            query = f"?from={asked}&hold_ms={self._hold * 1000:.0f}"
+            # A process that nothing has been told yet asks what is new by now: a watch on a list that is the
+            # newest would say nothing for as long as it holds, and the process would not know that it is.
+            hold = self._hold if self._host.told else 0.0
+            query = f"?from={asked}&hold_ms={hold * 1000:.0f}"
             try:
                 if self._pushed:
                     told = await self._call_agent(query)
                 else:
-                    told = await self._call(query, self._hold + self._grace)
+                    told = await self._call(query, hold + self._grace)
             except CallFailed as problem:
                 self._failed(problem)
                 if not self._pushed:
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -62,7 +62,7 @@
         self.fetch: Callable[[], None] = lambda: None
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
-        self._told = False  # whether discovery has, since the start
+        self.told = False  # whether discovery has, since the start
         self._patient_until = self.now() + TOLD_WITHIN
 
     # ---- events
@@ -94,19 +94,19 @@
 
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
-        self._told = self._told or kind != api.ListKind.CACHED
+        self.told = self.told or kind != api.ListKind.CACHED
         self.upstream.learn(told.hosts, whole=kind != api.ListKind.DELTA)
         self.telemetry.keep_engines(self.upstream)
         self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
 
     def confirm(self) -> None:
         """Discovery has answered that the list in hand is the newest."""
-        self._told = True
+        self.told = True
 
     @property
     def informed(self) -> bool:
         """Whether engines are known, by a list from discovery unless that is long in coming."""
-        return self.listed and (self._told or self.now() >= self._patient_until)
+        return self.listed and (self.told or self.now() >= self._patient_until)
 
     def post(self, event: api.Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -571,7 +571,32 @@
     run(test())
 
 
-# ---- peers
+def test_a_process_that_was_told_nothing_yet_asks_what_is_new_by_now_and_only_then_watches() -> None:
+    calls: list[bytes] = []
+
+    async def script(request: Seen) -> bytes:
+        calls.append(request.line.split()[1])
+        if len(calls) == 1:
+            return ok(b'{"seq": 1, "whole": false, "hosts": []}')
+        return await never(request)
+
+    async def test() -> None:
+        asked = SETTINGS | {"Discovery": "on_request"}
+        async with (
+            endpoint(script) as served,
+            sidecar("127.0.0.1:9", discovery=served.dial, settings=asked) as node,
+        ):
+            assert not node.host.informed
+            node.discovery.watch(True)
+            await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.DELTA)
+            assert node.host.informed
+            while len(served.seen) < 2:
+                served.arrived.clear()
+                await served.arrived.wait()
+            paths = [seen.line.split()[1] for seen in served.seen]
+            assert paths == [b"/discovery/hosts?from=1&hold_ms=%d" % hold for hold in (0, 20_000)]
+
+    run(test())
 
 
 def test_an_agent_that_is_slow_and_not_hung_is_heard_and_the_next_call_does_not_wait_for_it() -> None:
@@ -598,16 +623,19 @@
             )
             assert [one.health for one in told.endpoints] == [api.Health.DRAINING]
             heard.set()
-            while len(calls) < 4:
+            while len(served.seen) < 4:
                 served.arrived.clear()
                 await served.arrived.wait()
-            asked = [call.split(b"&")[0].rpartition(b"=")[2] for call in calls]
+            asked = [seen.line.split(b"&")[0].rpartition(b"=")[2] for seen in served.seen]
             assert asked == [b"1", b"1", b"1", b"3"]
 
     drained = [entry("s-0", "127.0.0.1:9", "draining")]
     run(test())
 
 
+# ---- peers
+
+
 def test_a_watch_that_waits_goes_on_at_once_where_discovery_has_moved() -> None:
     """The old address may stay silent: nothing waits for it."""
 
