--- a/sprucenotch/rig/actions.py
+++ b/sprucenotch/rig/actions.py
@@ -101,6 +101,8 @@
                 return _on_children(stage, hit, lambda c: c.slow(fault.cpu), lambda c: c.quicken())
             case faults.WrongClock():
                 return _wrong_clocks(stage, fault, hit)
+            case faults.Retune():
+                return await _retune(stage, fault, hit)
             case faults.Engines():
                 return await _trouble(stage, fault, hit)
             case faults.Restart():
@@ -196,6 +198,16 @@
     return Begun(tuple(hit), (), heal)
 
 
+async def _retune(stage: Stage, fault: faults.Retune, hit: Sequence[str]) -> Begun:
+    async def turn(attempts: int | None) -> None:
+        for name in hit:
+            async with stage.locks[name]:
+                await stage.retune(name, attempts)
+
+    await turn(fault.attempts)
+    return Begun(tuple(hit), (), lambda: turn(None))
+
+
 async def _trouble(stage: Stage, fault: faults.Engines, hit: Sequence[str]) -> Begun:
     async def turn(name: str, on: bool) -> None:
         one, held = stage.engines[name], (name, fault.trouble)
@@ -249,6 +261,8 @@
     down = fault.down / SECOND
     if name in stage.sidecars:
         sidecar = stage.sidecars[name]
+        if fault.configured == "first":
+            stage.attempts.pop(name, None)
         if fault.revision:
             sidecar.program = stage.programs.program(fault.revision)
         await restart(sidecar, fault.how, down, fault.knowing)
--- a/sprucenotch/rig/faults.py
+++ b/sprucenotch/rig/faults.py
@@ -49,6 +49,9 @@
     knowing: Annotated[Literal["last", "first", "nothing"], Meta(description="last, first or nothing")] = (
         "last"  # the list that it starts with: as it was last, as at the start of the run, or none
     )
+    configured: Annotated[Literal["now", "first"], Meta(description="now or first")] = (
+        "now"  # with the settings in force, or with those of the start of the run
+    )
 
 
 class Pause(OnProcesses, frozen=True, kw_only=True, tag="pause"):
@@ -61,6 +64,12 @@
     cpu: Part = 0.2
 
 
+class Retune(OnProcesses, frozen=True, kw_only=True, tag="retune"):
+    """Other settings by SIGHUP, and the first ones again at the end."""
+
+    attempts: Annotated[int, Meta(ge=1, le=10, description="1 to 10")]
+
+
 class WrongClock(OnProcesses, frozen=True, kw_only=True, tag="wrong clock"):
     """The wall clock that these processes read from their next start on."""
 
@@ -128,8 +137,8 @@
 KINDS: dict[str, type[Fault]] = {
     str(kind.__struct_config__.tag): kind
     for kind in (
-        Restart, Pause, SlowCpu, WrongClock, Cut, Delay, Rate, Reset, HalfOpen, Datagrams, Engines, Replace,
-        Discovery, Surge,
+        Restart, Pause, SlowCpu, Retune, WrongClock, Cut, Delay, Rate, Reset, HalfOpen, Datagrams, Engines,
+        Replace, Discovery, Surge,
     )
 }  # fmt: skip
 SELF_ENDING = (Restart, Replace)  # they last as long as they take
--- a/sprucenotch/rig/plan.py
+++ b/sprucenotch/rig/plan.py
@@ -321,6 +321,6 @@
 
 
 ALLOWED = {
-    "restart": ("sidecar", "engine", "discovery"), "wrong clock": ("sidecar",), "engines": ("engine",),
-    "replace": ("engine",),
+    "restart": ("sidecar", "engine", "discovery"), "wrong clock": ("sidecar",), "retune": ("sidecar",),
+    "engines": ("engine",), "replace": ("engine",),
 }  # fmt: skip
--- a/sprucenotch/rig/play.py
+++ b/sprucenotch/rig/play.py
@@ -17,6 +17,7 @@
 from sprucenotch.rig import nemesis, revision
 from sprucenotch.rig.actions import Faults
 from sprucenotch.rig.client import Clients, Ended
+from sprucenotch.rig.faults import Retune
 from sprucenotch.rig.load import Load
 from sprucenotch.rig.plan import SECOND, Plan, Step
 from sprucenotch.rig.process import ProcessError, RigError, call
@@ -232,7 +233,8 @@
         terms = {
             c.name: Terms(c.effect, c.window / SECOND, c.aim / SECOND, float(c.worth)) for c in plan.classes
         }
-        rules = Rules(attempts=plan.fleet.attempts)
+        retuned = [fault.attempts for fault in plan.faults if isinstance(fault, Retune)]
+        rules = Rules(attempts=max(plan.fleet.attempts, *retuned, 0))
         if plan.fleet.discovery != "pushed":
             rules = rules._replace(told_within=None)
         ledger = Ledger(history, terms, rules)
