Rig: links apart from the stage, and what sidecars are told apart from both

Need: the stage was a class of 300 lines that did three things. Change: wiring.py (links, relays, peers), deployment.py (settings of a sidecar), stage.py (processes).

--- a/sprucenotch/rig/actions.py
+++ b/sprucenotch/rig/actions.py
@@ -83,11 +83,11 @@
         pairs = links(fault, self.stage.plan.fleet)
         harm = _harm(fault)
         for pair in pairs:
-            self.stage.links[pair].harm(number, harm)
+            self.stage.wiring.links[pair].harm(number, harm)
 
         async def heal() -> None:
             for pair in pairs:
-                self.stage.links[pair].heal(number)
+                self.stage.wiring.links[pair].heal(number)
 
         befalls = tuple(f"{source}>{target}" for source, target in pairs)
         return Begun(befalls, befalls, heal)
--- /dev/null
+++ b/sprucenotch/rig/deployment.py
@@ -0,0 +1,33 @@
+"""What the sidecars of a plan are told of their deployment, in the platform's form."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sprucenotch.rig.plan import SECOND, Class, Plan
+
+
+def settings(plan: Plan, number: int, attempts: int) -> dict[str, Any]:
+    """The settings of the sidecar of that number."""
+    fleet, tenants = plan.fleet, plan.load.tenants
+    total = sum(t.share for t in tenants)
+    return {
+        "Azs": list(fleet.zones), "Zone": number % len(fleet.zones), "Kinds": [],
+        "NInstances": fleet.sidecars, "Position": number, "Discovery": fleet.discovery,
+        "Categories": [_category(one) for one in plan.classes],
+        "Orgs": [{"Name": t.name, "Portion": t.share / total, "QuotaPerS": plan.rate * t.share / total}
+                 for t in tenants],
+        "Limits": {"MaxAttempts": attempts, "Cancel": True, "Probes": True, "RetryAfter": True,
+                   "Peers": fleet.peers, "MaxRetryAfterNs": SECOND,
+                   "ConnectTimeoutNs": fleet.connect_timeout, "ConnIdleNs": 10 * SECOND},
+        "Deductions": {"Waste": 0.15, "Probe": 0.01},
+        "Rules": {"ColdFrom": fleet.cold_share, "ColdNs": fleet.cold_for, "FallMultiple": 3.0},
+    }  # fmt: skip
+
+
+def _category(one: Class) -> dict[str, Any]:
+    return {
+        "Name": one.name, "AimNs": one.aim, "HardLimitNs": one.deadline, "Importance": one.worth,
+        "LateWorth": 0.0, "Effect": one.effect, "KeyScope": "all",
+        "WindowNs": one.window if one.effect == "dedup" else 0,
+    }  # fmt: skip
--- a/sprucenotch/rig/stage.py
+++ b/sprucenotch/rig/stage.py
@@ -13,19 +13,20 @@
 from pathlib import Path
 from typing import Any
 
+from sprucenotch.rig import deployment
 from sprucenotch.rig.discovery import Discovery, Entry
 from sprucenotch.rig.engine import Cold, Work
-from sprucenotch.rig.faults import OnLinks, OnProcesses, Pause, SlowCpu
-from sprucenotch.rig.net.datagrams import PeerRelays
-from sprucenotch.rig.net.link import Link
-from sprucenotch.rig.net.relay import Relay
-from sprucenotch.rig.plan import SECOND, Class, Plan, chosen, links, names
-from sprucenotch.rig.process import Child, RigError, allow_descriptors, free_address
+from sprucenotch.rig.faults import OnProcesses, Pause, SlowCpu
+from sprucenotch.rig.plan import SECOND, Plan, chosen, names
+from sprucenotch.rig.process import Child, RigError, allow_descriptors
 from sprucenotch.rig.remote import AnyEngine, RemoteDiscovery, RemoteEngine
 from sprucenotch.rig.revision import Program, Programs
 from sprucenotch.rig.sidecar import Sidecar
 from sprucenotch.rig.standin import EngineSpec, engine
 from sprucenotch.rig.truth.history import Event
+from sprucenotch.rig.wiring import Wiring
+
+LOG_KEPT = 256 * 1024  # bytes of each
 
 
 class Stage:
@@ -47,9 +48,7 @@
         self.programs = Programs()
         self.engines: dict[str, AnyEngine] = {}  # by place; a new engine in a place has a name of its own
         self.sidecars: dict[str, Sidecar] = {}
-        self.links: dict[tuple[str, str], Link] = {}
-        self.relays: dict[tuple[str, str], Relay] = {}
-        self.peers: PeerRelays | None = None
+        self.wiring = Wiring(plan, self.rng)
         self.attempts: dict[str, int] = {}  # other than the plan's, by sidecar
         self.clocks: dict[str, Mapping[str, Any]] = {}  # wrong ones, by sidecar
         # Held by whoever ends or starts the process of that name: faults overlap.
@@ -99,10 +98,6 @@
             self._temporary = tempfile.TemporaryDirectory(prefix="rig-")
             self._folder = Path(self._temporary.name)
         fleet, names_ = self.plan.fleet, [f"sidecar-{n}" for n in range(self.plan.fleet.sidecars)]
-        for fault in self.plan.faults:
-            if isinstance(fault, OnLinks):
-                for source, target in links(fault, fleet):
-                    self.links.setdefault((source, target), Link(source, target))
         await self.discovery.start()
         for number in range(fleet.engines):
             self.engines[f"engine-{number}"] = self._engine(f"engine-{number}")
@@ -111,18 +106,18 @@
             await self.tell(place)
         for name in names_:
             await self._join(name)
-        await self._join_peers(names_)
+        if fleet.peers:
+            self._peer_listen = await self.wiring.join_peers(names_)
         program = self.programs.program(fleet.revision)
         longest = max(c.deadline for c in self.plan.classes) / SECOND
         for name in names_:
             self.sidecars[name] = sidecar = Sidecar(
                 name, self._folder, self._told, self.now, self.witness,
-                lambda on, name=name: self._takes_clients(name, on), longest,  # type: ignore[misc]
+                lambda on, name=name: self.wiring.reachable(name, on), longest,  # type: ignore[misc]
             )  # fmt: skip
             sidecar.program = self._own_programs.get(name, program)
             self._first_list[name] = await self.discovery.whole(name)
-            if ("client", name) in self.links:
-                self._relay("client", name)
+            self.wiring.join("client", name, lambda sidecar=sidecar: sidecar.listen)  # type: ignore[misc]
         # All are waited for even if one fails: whoever is stopped halfway through its start is an orphan.
         started = await asyncio.gather(*(s.start() for s in self.sidecars.values()), return_exceptions=True)
         for outcome in started:
@@ -141,65 +136,23 @@
         )  # fmt: skip
         return RemoteEngine(spec, self.witness) if self._engines_apart else engine(spec, self.witness)
 
-    def _target(self, target: str) -> tuple[str, int]:
-        dial = self.engines[target].dial if target in self.engines else self.sidecars[target].listen
-        host, _, port = dial.rpartition(":")
-        return host, int(port)
-
-    def _relay(self, source: str, target: str) -> Relay:
-        old = self.relays.get((source, target))
-        if old is not None:
-            old.close()
-        if target == "discovery":
-            host, _, port = self._faces[source].rpartition(":")
-            address = host, int(port)
-            relay = Relay(self.links[source, target], lambda: address, self.rng.getrandbits(32))
-        else:
-            relay = Relay(self.links[source, target], lambda: self._target(target), self.rng.getrandbits(32))
-        relay.open()
-        self.relays[source, target] = relay
-        return relay
-
     async def _join(self, name: str) -> None:
-        """The links of a sidecar to engines and discovery."""
+        """The links of a sidecar to discovery and engines."""
         self._faces[name] = await self.discovery.face(name)
-        if (name, "discovery") in self.links:
-            self._relay(name, "discovery")
+        self.wiring.join(name, "discovery", lambda: self._faces[name])
         for place in self.engines:
             await self._join_engine(name, place)
 
     async def _join_engine(self, name: str, place: str) -> None:
-        if (name, place) in self.links:
-            relay = self._relay(name, place)
-            await self.discovery.dials(name, {self.engines[place].name: relay.dial})
-
-    async def _join_peers(self, sidecars: list[str]) -> None:
-        if not self.plan.fleet.peers:
-            return
-        self._peer_listen = {name: free_address() for name in sidecars}
-        for source in sidecars:
-            for target in sidecars:
-                if source != target:
-                    self.links.setdefault((source, target), Link(source, target))
-        addresses = {n: (d.partition(":")[0], int(d.partition(":")[2])) for n, d in self._peer_listen.items()}
-        by_name = {f"{s}>{t}": link for (s, t), link in self.links.items()}
-        self.peers = PeerRelays(addresses, by_name, self.rng.getrandbits(32))
-        await self.peers.open()
-
-    def _takes_clients(self, name: str, on: bool) -> None:
-        relay = self.relays.get(("client", name))
-        if relay is not None:
-            if on:
-                relay.open()
-            else:
-                relay.refuse()
+        dial = self.wiring.join(name, place, lambda: self.engines[place].dial)
+        if dial is not None:
+            await self.discovery.dials(name, {self.engines[place].name: dial})
 
     # ---- what is asked of it
 
     def dial(self, sidecar: str) -> str:
         """Where the clients of a sidecar connect."""
-        relay = self.relays.get(("client", sidecar))
-        return relay.dial if relay is not None else self.sidecars[sidecar].listen
+        return self.wiring.dial("client", sidecar, self.sidecars[sidecar].listen)
 
     def child(self, name: str) -> Child:
         """The process of that name. Raises RigError where it is none of its own, or is not there."""
@@ -228,16 +181,12 @@
     async def engine_ends(self, place: str) -> None:
         """Its process dies: what it had is lost, and new connections are refused."""
         await self.engines[place].die()
-        for (_, target), relay in self.relays.items():
-            if target == place:
-                relay.refuse()
+        self.wiring.reachable(place, False)
 
     async def engine_starts(self, place: str, cold: bool = True) -> None:
         """The same engine again, at the same address, with nobody told but by its birth."""
         await self.engines[place].start(cold=cold)
-        for (_, target), relay in self.relays.items():
-            if target == place:
-                relay.open()
+        self.wiring.reachable(place, True)
         await self.tell(place, born_ms=int(time.time() * 1000) if cold else 0)
 
     async def new_engine(self, place: str) -> None:
@@ -260,19 +209,18 @@
             known = (
                 dict(self._first_list[name]) if knowing == "first" else {"seq": 0, "whole": True, "hosts": []}
             )
-        relay = self.relays.get((name, "discovery"))
         told: dict[str, Any] = {
             "name": name, "listen": sidecar.listen, "mgmt": sidecar.next_mgmt,
             "seed": f"{self.rng.getrandbits(64):x}",
-            "discovery": relay.dial if relay is not None else self._faces[name], "known": known,
+            "discovery": self.wiring.dial(name, "discovery", self._faces[name]), "known": known,
             "limits": {"cores": 1.0, "memory_mb": fleet.memory, "sockets": 1024},
-            "settings": self._settings(number, self.attempts.get(name, fleet.attempts)),
+            "settings": deployment.settings(self.plan, number, self.attempts.get(name, fleet.attempts)),
         }  # fmt: skip
-        if self.peers is not None:
+        if (peers := self.wiring.peers) is not None:
             told |= {
                 "peer_listen": self._peer_listen[name],
-                "peers": [self.peers.dial(name, peer) for peer in self.peers.address],
-                "peers_all": self.peers.dial(name, "*"),
+                "peers": [peers.dial(name, peer) for peer in peers.address],
+                "peers_all": peers.dial(name, "*"),
             }
         if name in self.clocks:
             told["clock"] = self.clocks[name]
@@ -291,22 +239,6 @@
             sidecar.process.configure({**told, "mgmt": sidecar.mgmt})
             sidecar.process.signal(signal.SIGHUP)
 
-    def _settings(self, number: int, attempts: int) -> dict[str, Any]:
-        fleet, tenants = self.plan.fleet, self.plan.load.tenants
-        total = sum(t.share for t in tenants)
-        return {
-            "Azs": list(fleet.zones), "Zone": number % len(fleet.zones), "Kinds": [],
-            "NInstances": fleet.sidecars, "Position": number, "Discovery": fleet.discovery,
-            "Categories": [_category(one) for one in self.plan.classes],
-            "Orgs": [{"Name": t.name, "Portion": t.share / total, "QuotaPerS": self.plan.rate * t.share /
-            total} for t in tenants],
-            "Limits": {"MaxAttempts": attempts, "Cancel": True, "Probes": True, "RetryAfter": True,
-                       "Peers": fleet.peers, "MaxRetryAfterNs": SECOND,
-                       "ConnectTimeoutNs": fleet.connect_timeout, "ConnIdleNs": 10 * SECOND},
-            "Deductions": {"Waste": 0.15, "Probe": 0.01},
-            "Rules": {"ColdFrom": fleet.cold_share, "ColdNs": fleet.cold_for, "FallMultiple": 3.0},
-        }  # fmt: skip
-
     # ---- the end
 
     def logs(self) -> dict[str, str]:
@@ -328,22 +260,8 @@
                 await self.discovery.remote.kill()
             else:
                 await self.discovery.die()
-        for relay in self.relays.values():
-            relay.close()
-        if self.peers is not None:
-            self.peers.close()
+        self.wiring.close()
         self.programs.close()
         if self._temporary is not None:
             self._temporary.cleanup()
             self._temporary = None
-
-
-LOG_KEPT = 256 * 1024  # bytes of each
-
-
-def _category(one: Class) -> dict[str, Any]:
-    return {
-        "Name": one.name, "AimNs": one.aim, "HardLimitNs": one.deadline, "Importance": one.worth,
-        "LateWorth": 0.0, "Effect": one.effect, "KeyScope": "all",
-        "WindowNs": one.window if one.effect == "dedup" else 0,
-    }  # fmt: skip
