Demo: a planned trouble shows while it lies there only; a taken port has its own code

Change: it is shown while its step lasts, as in the lines; a test that a sidecar which cannot listen ends a run as such.

--- a/sprucenotch/cli/demo.py
+++ b/sprucenotch/cli/demo.py
@@ -135,11 +135,15 @@
 def _line(day: Play, second: Second) -> str:
     asked, shares = _shares(second.ended)
     told = ", ".join(f"{outcome} {share:.0%}" for outcome, share in shares.items())
-    on = next((s for s in day.plan.steps if s.at < second.at - 0.5 < s.at + s.lasts), None)
-    trouble = f"; trouble: {day.plan.title}" if on is not None else ""
+    trouble = f"; trouble: {day.plan.title}" if _planned(day, second) else ""
     return f"{second.at:3.0f} s  {asked:4d} requests: {told}{trouble}"
 
 
+def _planned(day: Play, second: Second) -> bool:
+    """Whether the trouble that was asked for lay over most of this second."""
+    return any(step.at < second.at - 0.5 < step.at + step.lasts for step in day.plan.steps)
+
+
 def _summary(day: Play) -> dict[str, Any]:
     return {
         "classes": {cls.name: _counts(day, cls.name) for cls in CLASSES}, "load_late_s": round(day.late, 3),
@@ -164,7 +168,8 @@
 
 
 def view(day: Play, second: Second, readings: list[Reading | None], troubles: list[str]) -> RenderableType:
-    on = ", ".join(troubles or [day.plan.title]) or "none"
+    planned = [day.plan.title] if _planned(day, second) else []
+    on = ", ".join(dict.fromkeys((*troubles, *planned))) or "none"
     keys = "  ".join(f"[{trouble.key}] {name}" for name, trouble in TROUBLES.items())
     head = Text.assemble(
         ("sprucenotch", "bold"), f"  {second.at:.0f} of {day.plan.length:.0f} s, ",
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -19,6 +19,7 @@
 from sprucenotch.rig.play import Play, Result, Second
 from sprucenotch.rig.process import ProcessError, RigError
 from sprucenotch.rig.revision import ROOT, Program
+from sprucenotch.rig.sidecar import AddressError
 from sprucenotch.rig.store import Row, Store, StoreError
 from sprucenotch.rig.summary import Summary
 from sprucenotch.rig.sweep import Job, open_jobs
@@ -108,9 +109,18 @@
     assert {finding.rule for finding in soak.judge(seconds)} == found
 
 
-def test_a_sidecar_that_ends_instead_of_serving_ends_the_run_with_its_words() -> None:
-    programs = {"sidecar-0": Program((sys.executable, "-c", "raise SystemExit('no such thing')"))}
-    with pytest.raises(ProcessError, match=r"sidecar-0: .* code 1: no such thing"):
+@pytest.mark.parametrize(
+    ("ends", "kind", "said"),
+    [
+        ("'no such thing'", ProcessError, r"sidecar-0: .* code 1: no such thing"),
+        ("3", AddressError, "sidecar-0: "),
+    ],
+)
+def test_a_sidecar_that_ends_instead_of_serving_ends_the_run_with_its_words(
+    ends: str, kind: type[RigError], said: str
+) -> None:
+    programs = {"sidecar-0": Program((sys.executable, "-c", f"raise SystemExit({ends})"))}
+    with pytest.raises(kind, match=said):
         uvloop.run(Play(plan.decode(SMOKE.encode()), 1, programs=programs).run())
 
 
