--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -2,8 +2,8 @@
 
     python benchmarks/store.py [FOLDER]
 
-Records are small maps, as a sidecar's would be. The folder decides which disk is measured; without one it is a
-temporary one. Each figure is the median of the rounds.
+Records are small maps, as a sidecar's would be. The folder decides which disk is measured; without one it is
+a temporary one. Each figure is the median of the rounds.
 """
 
 from __future__ import annotations
@@ -64,9 +64,8 @@
             found = read(RealDisk(Path(folder)), OWNER, SCHEMA, time.time_ns())
             peak = tracemalloc.get_traced_memory()[1]
             tracemalloc.stop()
-        print(
-            f"start with {size:,} records: {statistics.median(took) * 1000:.2f} ms, at most {peak / 1e6:.1f} MB"
-        )
+        spent = statistics.median(took) * 1000
+        print(f"start with {size:,} records: {spent:.2f} ms, at most {peak / 1e6:.1f} MB")
 
 
 if __name__ == "__main__":
