--- a/sprucenotch/cli/demo.py
+++ b/sprucenotch/cli/demo.py
@@ -25,9 +25,9 @@
 from sprucenotch.rig.play import LATE_MOST, Play, Second
 from sprucenotch.rig.process import RigError
 from sprucenotch.rig.remote import AnyEngine
+from sprucenotch.rig.summary import OUTCOMES
 from sprucenotch.rig.trouble import TROUBLES, Troubles
 
-OUTCOMES = ("served", "late", "refused", "failed")
 KEYS = {trouble.key: name for name, trouble in TROUBLES.items()}
 BAR = 7  # the most that an engine holds: one at work and six that wait
 
--- a/sprucenotch/cli/rig.py
+++ b/sprucenotch/cli/rig.py
@@ -203,7 +203,7 @@
     raise typer.Exit(Exit.NO if any(row.result.findings for row in rows) else Exit.FINE)
 
 
-def swept(path: Path, wanted: list[Any], jobs: int) -> list[Row]:
+def swept(path: Path, wanted: list[Job], jobs: int) -> list[Row]:
     """Run what is missing; the last run that counts of each."""
     try:
         with Store(path) as store:
@@ -219,12 +219,7 @@
                 print(f"sprucenotch: {one.job.plan}, seed {one.job.seed}: {one.said}", file=sys.stderr)
             if failed:
                 raise typer.Exit(failed[0].code)
-            return [
-                row
-                for source, name in dict.fromkeys((job.source, job.known_as) for job in wanted)
-                for seed, row in sorted(store.done(source, name).items())
-                if any((job.source, job.known_as, job.seed) == (source, name, seed) for job in wanted)
-            ]
+            return sweeps.rows(store, wanted)
     except KeyboardInterrupt:
         fail(
             Exit.INTERRUPTED,
--- a/sprucenotch/rig/client.py
+++ b/sprucenotch/rig/client.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from sprucenotch.node.config import address
 from sprucenotch.rig.truth import history
 
 LISTEN_ON = 0.5  # seconds after its deadline
@@ -153,8 +154,7 @@
         origin: float = 0.0,
         life: Callable[[], int] = lambda: 0,
     ) -> None:
-        host, _, port = dial.rpartition(":")
-        self._address = (host, int(port))
+        self._address = address(dial)
         self._report, self._name, self.sidecar = report, name, sidecar or name
         self._witness, self._origin, self._life = witness, origin, life
         self._idle: deque[_Connection] = deque()
--- a/sprucenotch/rig/play.py
+++ b/sprucenotch/rig/play.py
@@ -167,9 +167,8 @@
         while (now := time.monotonic()) < end and not self.stopped.is_set():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.stopped.wait(), min(1.0, end - now))
-            for name, sidecar in stage.sidecars.items():
-                if (code := sidecar.ended_by_itself()) is not None:
-                    raise ProcessError(f"{name} ended with code {code}: {sidecar.process.said()}")
+            for sidecar in stage.sidecars.values():
+                sidecar.check()
             now, recent, self._recent = time.monotonic(), self._recent, Counter()
             self.total += recent
             before, served = served, self._served()
@@ -214,8 +213,7 @@
     async def _still(self) -> None:
         """Each sidecar's own figures, once it has nothing in progress."""
         for name, sidecar in self.stage.sidecars.items():
-            if (code := sidecar.ended_by_itself()) is not None:
-                raise ProcessError(f"{name} ended with code {code}: {sidecar.process.said()}")
+            sidecar.check()
             until = time.monotonic() + STILL_WITHIN
             while True:
                 try:
@@ -230,9 +228,7 @@
 
     def _result(self, history: Sequence[Event]) -> Result:
         plan = self.plan
-        terms = {
-            c.name: Terms(c.effect, c.window / SECOND, c.aim / SECOND, float(c.worth)) for c in plan.classes
-        }
+        terms = {c.name: Terms(c.effect, c.window / SECOND) for c in plan.classes}
         retuned = [fault.attempts for fault in plan.faults if isinstance(fault, Retune)]
         rules = Rules(attempts=max(plan.fleet.attempts, *retuned, 0))
         if plan.fleet.discovery != "pushed":
--- a/sprucenotch/rig/process.py
+++ b/sprucenotch/rig/process.py
@@ -166,9 +166,6 @@
         page = os.sysconf("SC_PAGE_SIZE")
         return resident * page, (resident - shared) * page
 
-    def descriptors(self) -> int:
-        return len(os.listdir(f"/proc/{self.pid}/fd"))
-
     def end(self) -> None:
         """SIGTERM, then SIGKILL; one that is stopped cannot act on the first."""
         self.quicken()
--- a/sprucenotch/rig/sidecar.py
+++ b/sprucenotch/rig/sidecar.py
@@ -142,9 +142,10 @@
             self._opens(False)
         self._tell("ended", life, code)
 
-    def ended_by_itself(self) -> int | None:
-        """The exit code of a process that nobody ended; None while it lives, or is meant to be down."""
-        return None if self._down else self.process.process.poll()
+    def check(self) -> None:
+        """Raises ProcessError where its process ended and nobody ended it."""
+        if not self._down and (code := self.process.process.poll()) is not None:
+            raise ProcessError(f"{self.name} ended with code {code}: {self.process.said()}")
 
     def close(self) -> None:
         for process in self.lives:
--- a/sprucenotch/rig/summary.py
+++ b/sprucenotch/rig/summary.py
@@ -10,7 +10,9 @@
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 from msgspec import Struct
 
-from sprucenotch.rig.plan import SECOND, Class
+from sprucenotch.rig import client
+from sprucenotch.rig.load import kind
+from sprucenotch.rig.plan import Class
 from sprucenotch.rig.truth.history import Ended, Event, Sent
 
 OUTCOMES = ("served", "late", "refused", "failed")
@@ -42,10 +44,7 @@
     """How a request ended, as its client sees it."""
     if ended is None or ended.how != "whole":
         return "failed"
-    took = ended.at - sent.at
-    if ended.status == 200 and took <= one.deadline / SECOND:
-        return "served" if took <= one.aim / SECOND else "late"
-    return "refused" if ended.status in (429, 503) else "failed"
+    return client.Ended(kind(one), ended.status, ended.at - sent.at).outcome
 
 
 def summarize(history: Iterable[Event], classes: Sequence[Class]) -> Summary:
--- a/sprucenotch/rig/sweep.py
+++ b/sprucenotch/rig/sweep.py
@@ -21,10 +21,6 @@
     seed: int
     revision: str = ""  # empty for this tree
 
-    @property
-    def known_as(self) -> str:
-        return revision.name(self.revision or "HEAD")
-
 
 class Failed(NamedTuple):
     job: Job
@@ -34,13 +30,28 @@
 
 def open_jobs(store: Store, jobs: Sequence[Job]) -> list[Job]:
     """Those that have no run that counts: a sweep that was ended goes on with these."""
-    done: dict[tuple[str, str], dict[int, Row]] = {}
-    left = []
-    for job in jobs:
-        key = (job.source, job.known_as)
-        if job.seed not in done.setdefault(key, store.done(*key)):
-            left.append(job)
-    return left
+    keys = _keys(jobs)
+    done = {key: store.done(*key) for key in set(keys.values())}
+    return [job for job in jobs if job.seed not in done[keys[job]]]
+
+
+def rows(store: Store, jobs: Sequence[Job]) -> list[Row]:
+    """The last run that counts of each, by plan, revision and seed."""
+    wanted: dict[tuple[str, str], set[int]] = {}
+    for job, key in _keys(jobs).items():
+        wanted.setdefault(key, set()).add(job.seed)
+    return [
+        row
+        for key, seeds in wanted.items()
+        for seed, row in sorted(store.done(*key).items())
+        if seed in seeds
+    ]
+
+
+def _keys(jobs: Sequence[Job]) -> dict[Job, tuple[str, str]]:
+    """Each job's plan and revision as the store knows them. Git is asked once a revision."""
+    names = {revised: revision.name(revised or "HEAD") for revised in {job.revision for job in jobs}}
+    return {job: (job.source, names[job.revision]) for job in jobs}
 
 
 async def run(store: Path, jobs: Sequence[Job], width: int, each: Callable[[Job], None]) -> list[Failed]:
--- a/sprucenotch/rig/truth/ledger.py
+++ b/sprucenotch/rig/truth/ledger.py
@@ -38,8 +38,6 @@
 
     effect: Literal["retryable", "dedup", "fragile"] = "retryable"
     window: float = 0.0  # seconds in which a keyed request may be sent again
-    aim: float = 1.0
-    worth: float = 1.0
 
 
 class Rules(NamedTuple):
@@ -94,10 +92,15 @@
             self.processes[process.name].append(process)
         self.judged = Counter[str]()  # by rule: what it decided on
         self.excused = Counter[str]()
+        self._faults = list(self.of(Fault))
         self._disturbed = self._read_faults()
         self._lags = [(e.at, e.late) for e in self.of(Lag) if e.late >= LATE_LEAST]
         listed = list(self.of(Listed))
         self._listed = [e.at for e in listed], [e.version for e in listed]
+        self._of_id: dict[str, list[Event]] = defaultdict(list)
+        for seen in self.history:
+            if (id := getattr(seen, "id", None)) is not None:
+                self._of_id[id].append(seen)
         self._told: dict[str, tuple[list[float], list[int]]] = {}
         for told in self.of(Told):
             times, versions = self._told.setdefault(told.sidecar, ([], []))
@@ -110,7 +113,7 @@
     def _read_faults(self) -> Spans:
         spans, begun = Spans(), dict[int, Fault]()
         last = self.history[-1].at if self.history else 0.0
-        for fault in self.of(Fault):
+        for fault in self._faults:
             if fault.on:
                 begun[fault.number] = fault
             elif (start := begun.pop(fault.number, None)) is not None:
@@ -131,15 +134,11 @@
 
     def told(self, sidecar: str, at: float) -> int:
         """The version of the list up to which that sidecar had been written to by then; -1 for none."""
-        times, versions = self._told.get(sidecar, ([], []))
-        place = bisect_right(times, at)
-        return versions[place - 1] if place else -1
+        return _latest(*self._told.get(sidecar, ([], [])), at)
 
     def listed(self, at: float) -> int:
         """The version that discovery had by then; -1 for none."""
-        times, versions = self._listed
-        place = bisect_right(times, at)
-        return versions[place - 1] if place else -1
+        return _latest(*self._listed, at)
 
     def told_between(self, sidecar: str, begin: float, end: float) -> list[int]:
         times, versions = self._told.get(sidecar, ([], []))
@@ -152,19 +151,11 @@
             for p in self.processes.get(name, ())
         )
 
-    def time_line(
-        self, *ids: str, sidecar: str = "", around: tuple[float, float] = (0, 0)
-    ) -> tuple[str, ...]:
-        """All that was seen of these requests, with faults and processes around them."""
-        begin, end = around
-        shown = [
-            event
-            for event in self.history
-            if getattr(event, "id", None) in ids
-            or (isinstance(event, Fault) and begin <= event.at <= end)
-            or (isinstance(event, Process) and event.name == sidecar and begin <= event.at <= end)
-        ]
-        return tuple(map(line, shown[:TIME_LINE_MOST]))
+    def time_line(self, id: str, sidecar: str, begin: float, end: float) -> tuple[str, ...]:
+        """All that was seen of that request, with faults and the sidecar's processes around it."""
+        around: tuple[Event, ...] = (*self._faults, *self.processes.get(sidecar, ()))
+        shown = [*self._of_id.get(id, ()), *(event for event in around if begin <= event.at <= end)]
+        return tuple(map(line, sorted(shown, key=lambda event: event.at)[:TIME_LINE_MOST]))
 
     def finding(self, rule: str, id: str, said: str) -> Finding:
         """About one request."""
@@ -173,9 +164,7 @@
         at = ended.at if ended is not None else sent.at if sent is not None else 0.0
         begin = sent.at if sent is not None else at
         sidecar = sent.sidecar if sent is not None else ""
-        return Finding(
-            rule, sidecar, at, said, self.time_line(id, sidecar=sidecar, around=(begin - 1, at + 1))
-        )
+        return Finding(rule, sidecar, at, said, self.time_line(id, sidecar, begin - 1, at + 1))
 
     def judge(self, invariants: Iterable[Invariant]) -> list[Finding]:
         """Everything that the invariants find, in order of time."""
@@ -183,6 +172,12 @@
         return sorted(found, key=lambda finding: finding.at)
 
 
+def _latest(times: Sequence[float], versions: Sequence[int], at: float) -> int:
+    """The version of the last entry by then; -1 for none."""
+    place = bisect_right(times, at)
+    return versions[place - 1] if place else -1
+
+
 class Invariant(Protocol):
     """A promise that a history keeps or breaks. Others are added beside the shipped ones by a class as
     small."""
--- a/sprucenotch/rig/wiring.py
+++ b/sprucenotch/rig/wiring.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from sprucenotch.node.config import address
 from sprucenotch.rig.faults import OnLinks
 from sprucenotch.rig.net.datagrams import PeerRelays
 from sprucenotch.rig.net.link import Link
@@ -13,11 +14,6 @@
 from sprucenotch.rig.process import free_address
 
 
-def address(dial: str) -> tuple[str, int]:
-    host, _, port = dial.rpartition(":")
-    return host, int(port)
-
-
 class Wiring:
     """Only links that a fault of the plan can hit have a relay; elsewhere processes meet directly."""
 
