--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -15,7 +15,6 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.balance import Balancer
 from sprucenotch.node.config import SECOND, Config, HostList
 from sprucenotch.node.ledger import Client, Incoming, Open
 from sprucenotch.node.log import AccessLog
@@ -24,6 +23,7 @@
 from sprucenotch.node.stream import READ_MOST, Budget, Stream
 from sprucenotch.node.telemetry import OUTCOMES, Telemetry
 from sprucenotch.node.upstream import Answer, Attempt, Upstream
+from sprucenotch.policy.balance import Balancer
 from sprucenotch.seams.clock import Clock
 
 log = logging.getLogger(__name__)
--- a/sprucenotch/node/standing.py
+++ b/sprucenotch/node/standing.py
@@ -10,10 +10,11 @@
 from typing import Any
 
 from sprucenotch import api
-from sprucenotch.balance import Balancer, Member
 from sprucenotch.node.log import event
 from sprucenotch.node.telemetry import Telemetry
 from sprucenotch.node.upstream import Upstream
+from sprucenotch.policy.balance import Balancer
+from sprucenotch.policy.state import Member
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +43,7 @@
 
     def engines(self) -> tuple[int, int]:
         """How many are listed, and how many of these get nothing now."""
-        members = [m for m in self._balancer.members.values() if m.health != api.Health.GONE]
+        members = [m for m in self._balancer.engines.members.values() if m.health != api.Health.GONE]
         return len(members), sum(map(self._avoided, members))
 
     def _avoided(self, member: Member) -> bool:
@@ -50,20 +51,22 @@
         of others."""
         if member.health != api.Health.READY:
             return True
-        return member.out_until > self._now() and not any(member in side for side in self._balancer.subset)
+        used = self._balancer.engines.subset
+        return member.out_until > self._now() and not any(member in side for side in used)
 
     def is_cold(self, endpoint: api.EndpointId) -> bool:
-        member = self._balancer.members.get(endpoint)
-        return member is not None and self._balancer.warmth(member, self._now()) < 1
+        member = self._balancer.engines.members.get(endpoint)
+        return member is not None and self._balancer.engines.warmth(member, self._now()) < 1
 
     def decisions(self) -> dict[str, float]:
         """How the decisions stand: the cut and what moves it, the engines by state, the retry budget."""
         b = self._balancer
-        ready, used = (sum(map(len, sides)) for sides in (b.order, b.subset))
-        cold = sum(self.is_cold(member.id) for side in b.order for member in side)
+        ready, used = (sum(map(len, sides)) for sides in (b.engines.order, b.engines.subset))
+        cold = sum(self.is_cold(member.id) for side in b.engines.order for member in side)
         return {
-            "cut": b.cut, "cut_levels": b.top, "pressure": b.pressure, "pressure_over": b.over,
-            "crossing": b.crossing, "flying": b.flying, "peak": b.peak, "ready": ready, "cold": cold,
+            "cut": b.admission.cut, "cut_levels": b.admission.top,
+            "pressure": b.pressure, "pressure_over": b.over, "crossing": b.crossing,
+            "flying": b.flying, "peak": b.engines.peak, "ready": ready, "cold": cold,
             "used": used, "retry_budget": b.budget,
         }  # fmt: skip
 
--- a/sprucenotch/balance.py
+++ b/sprucenotch/policy/balance.py
@@ -7,17 +7,14 @@
 from __future__ import annotations
 
 import random
-from heapq import nsmallest
-from math import log
 from struct import Struct, pack, unpack_from
 
 from sprucenotch import api
-from sprucenotch.api import Effect, Health, ListKind, Outcome, Scope
+from sprucenotch.api import Effect, Health, ListKind, Outcome
+from sprucenotch.policy.admission import Admission
+from sprucenotch.policy.engines import Engines
+from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending
 
-SECOND, HOUR = 1_000_000_000, 3600 * 1_000_000_000
-USER_LEVELS = 128  # from the write-up
-
-CYCLE = 0.5  # in mean aims, by which queues build: a burst is over before slower cycles shed
 CYCLE_COUNT = 2000  # or this many sends, as in the write-up
 CYCLE_MOST = 3.0  # mean aims that a cycle short of evidence waits for more
 EVIDENCE, EVIDENCE_POOLED = 3.0, 0.5  # outcomes that a verdict needs; where peers pool theirs, to a mean
@@ -28,19 +25,10 @@
 DRAIN = 0.25  # send this much less than servers finish for a wait of the whole slack, so that queues empty
 EASE, EASE_MOST = 0.005, 0.1  # b: share of arrivals let in again a cycle; grows with how calm it is
 EASE_RAMP = 8  # and with how many cycles calm has lasted, to the most after so many
-HISTOGRAM_KEEP = 0.9  # share of the histogram kept from cycle to cycle: sparse traffic needs some seconds
-SHED_MOST = 0.9  # never shed all: with no sends there is no evidence
 BASE_DRIFT = 1.0025  # the no-wait latency of a class may rise this much a cycle, to forget an old minimum
 BASE_MOST, BASE_GUESS = 0.5, 0.25  # it is at most that share of the aim; before any answer it counts as this
-SMOOTH = 0.25  # weight of a new sample in an endpoint's estimates
 LATENCY_KEEP = 0.95  # share of the class means' evidence kept from cycle to cycle: about 5 s worth
-FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
-SUBSET_LEAST, SUBSET_FREE = 4, 8  # members of an almost idle sidecar where connections are priced, or not
-SUBSET_GROWTH = 1.5  # further members for each request in flight, over all zones, so that one is idle
 SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
-FAILS_TO_EJECT = 3  # failures in a row that eject a member
-EJECT_FIRST, EJECT_MOST = 4.0, 40.0  # mean aims out of the subset, the first doubled each time
-EJECT_SHARE = 0.5  # at most this share of a subset is out: beyond that the trouble is shared
 RETRY_SHARE, RETRY_SAVED = 0.1, 5.0  # retry budget: share of sends, and how much of it may be saved up
 SPILL_STEP = 0.025  # change of the chance to cross zones, a cycle, for a difference that counts as overload
 STAY_AWAY = SECOND  # advice to a refused client, where clients take any: some cycles
@@ -52,7 +40,6 @@
 HEAD = Struct("<Bf")  # of a message: zone and cut (-1: none yet); then what is pooled, as half floats
 TOLD_MOST = 60_000.0  # the largest number told: a half float holds no more, and a larger one would be a fault
 WAITS, SEEN, SENT, DONE = range(4)  # places in the evidence of a zone
-KEY_MEMBERS = 2  # members that share a warm key: with one alone a popular key would swamp it
 ASK = 2  # members asked at once whether they are idle: the second choice brings most of the gain
 ASK_WORTH = 0.05  # share of all worth that asking brings: 0.02 to 0.11 where troubles last, else nothing
 ASK_TICKS = 3  # turns, beyond the way there and back, after which an idle member would have answered
@@ -61,64 +48,10 @@
 TICK = 0  # the token of the one timer
 
 
-def mix(value: int) -> int:
-    """A 64-bit integer hash (splitmix64's finaliser), the same in every process."""
-    value = (value + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
-    return value ^ (value >> 31)
-
-
-class Member:
-    """An endpoint as this sidecar knows it."""
-
-    def __init__(self, entry: api.Endpoint, rank: int) -> None:
-        self.id, self.rank, self.base = entry.id, rank, mix(int.from_bytes(entry.id, "little"))
-        self.inflight = 0
-        self.update(entry)
-        self.reset()
-
-    def update(self, entry: api.Endpoint) -> None:
-        self.zone, self.cell, self.health = entry.zone, entry.cell, entry.health
-        self.share, self.started = max(entry.share, 1e-3), entry.started
-
-    def reset(self) -> None:
-        self.pace = 1.0  # its latency over the mean of its classes, smoothed
-        self.fails = 0.0  # share of attempts that failed, smoothed
-        self.heard = 0  # when it last answered; 0: not yet, so it counts as the mean of the others
-        self.streak = self.failed_at = self.ejections = self.out_until = 0
-
-
-class Kind:
-    """A class of requests, and what was learned of it."""
-
-    def __init__(self, cls: api.RequestClass) -> None:
-        self.cls, self.business = cls, 0
-        self.mean = self.base = 0.0  # latency over some seconds; without wait: that's slowly rising minimum
-        self.latency = [0.0, 0.0]  # summed over the aim, and count; shared with peers
-        self.try_left = 0  # the longest that a first try has been given
-
-
-class Pending:
-    """A request that is owed its final answer."""
-
-    def __init__(self, event: api.Request, kind: Kind, tries: int, now: int) -> None:
-        self.id, self.expires, self.arrived = event.id, event.expires, now
-        self.kind, self.cls, self.tries = kind, kind.cls, tries  # as they were when it came
-        self.key, self.coming = event.key, event.coming
-        self.attempts = self.sent = self.ran_at = self.steps = self.open = 0
-        self.member: Member | None = None  # where its last attempt went
-        self.ran: Member | None = None  # where it first may have run
-        self.counted = 0.0  # how much of its wait is in the evidence already
-        self.asked: list[Member] = []  # members asked by a probe whether they are idle
-        self.best: Member | None = None  # the quickest of those that answered
-        self.best_took, self.best_far = 2 * HOUR, False
-
-
 class Balancer:
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.rand, self.sample, self.choices = (rng := random.Random(seed)).random, rng.sample, rng.choices
-        self.salt = mix(settings.instance)  # the subset outlives a restart
+        self.rand, self.sample = (rng := random.Random(seed)).random, rng.sample
+        self.engines, self.admission = Engines(settings, rng), Admission(settings)
         self.out: list[api.Action] = []
         self.pending: dict[int, Pending] = {}
         self.handlers = {
@@ -127,24 +60,13 @@
             api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded, api.Probed: self.on_probed,
             api.PeerMessage: self.on_peer, api.Retuned: lambda now, event: self.adopt(event.settings),
         }  # fmt: skip
-        # list and drains
-        self.members: dict[bytes, Member] = {}
         self.subscribed = not settings.discovery_on_request
         self.ask_at = 0
-        # subset
-        self.order: list[list[Member]] = [[], []]  # ready endpoints by rank: of this zone, of others
-        self.subset: list[list[Member]] = [[], []]
-        self.credit, self.gain = 0.0, 0.0  # sends to cold members, and what the answer of a warm one earns
-        self.peak, self.flying = 0.0, 0
+        self.flying = 0  # attempts out
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
         self.hop = [0, 0]  # the quickest answer to a probe, in this zone and from others
-        # health
         self.kinds: list[Kind] = []
         self.crossing = 0.0
-        # cut
-        self.cut = 0.0
-        self.histogram: dict[int, float] = {}
-        self.spread: list[float] = []  # arrivals without keys, by business level; shared with peers
         # Evidence by the zone of the servers, shared with peers: waits over slack, how many, sends, answers.
         self.evidence: list[list[float]] = []
         self.sends = self.cycles = self.calm = self.cycle_from = 0
@@ -163,20 +85,12 @@
             kind.latency[0] *= kind.cls.aim / cls.aim
             kind.base = min(kind.base, cls.aim * BASE_MOST)
             kind.cls, kind.business = cls, ranks[cls.worth]
-        levels = [(*divmod(level, USER_LEVELS), mass) for level, mass in self.histogram.items()]
-        self.histogram = {moved[b] * USER_LEVELS + user: mass for b, user, mass in levels if b in moved}
-        spread, self.spread = self.spread, [0.0] * len(ranks)
-        for b, new in moved.items():
-            self.spread[new] += spread[b]
-        at = next((b for b in sorted(moved) if self.cut and (b + 1) * USER_LEVELS > self.cut), None)
-        self.cut = 0.0 if at is None else moved[at] * USER_LEVELS + max(0.0, self.cut - at * USER_LEVELS)
-        self.top, self.aim = len(ranks) * USER_LEVELS, sum(c.aim for c in classes) / len(classes)
+        self.engines.adopt(settings)
+        self.admission.adopt(settings, moved, len(ranks))
+        self.aim = self.engines.aim
         # Where sidecars share what they see, and so shed in time, asking costs more than it brings.
         self.asks = settings.probes and not settings.peers and ASK * settings.probe_price < ASK_WORTH
         self.evidence = (self.evidence + [[0.0] * 4 for _ in range(settings.zones)])[: settings.zones]
-        for member in self.members.values():
-            member.zone = min(member.zone, settings.zones - 1)
-        self.rank()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event and return the actions that answer it."""
@@ -199,122 +113,18 @@
             self.ask_at = now + int((0.1 + 0.3 * self.rand()) * self.settings.ask_within)
             return
         self.subscribed |= event.kind != ListKind.CACHED
-        named = set()
-        for entry in event.endpoints:
-            named.add(entry.id)  # a list that fits the settings badly ends nothing:
-            entry = entry._replace(zone=min(entry.zone, self.settings.zones - 1))
-            member = self.members.get(entry.id)
-            if member is None:
-                rank = mix(int.from_bytes(entry.id, "little") ^ self.salt)
-                self.members[entry.id] = member = Member(entry, rank)
-            else:
-                if entry.started != member.started:
-                    member.reset()
-                member.update(entry)
-        if event.kind != ListKind.DELTA:
-            for member in self.members.values():
-                if member.id not in named:
-                    member.health = Health.GONE
-        self.members = {k: m for k, m in self.members.items() if m.health != Health.GONE or m.inflight}
-        self.rank()
+        self.engines.update(event.kind, event.endpoints)
 
     def subscribe(self, now: int) -> None:
         if not self.subscribed and now >= self.ask_at:
             self.out.append(api.Watch(True))
             self.ask_at = now + self.settings.ask_within // 2  # should no reply come at all
 
-    # ---- subset and choice --------------------------------------------------------------------------------
-
-    def rank(self) -> None:
-        """Weighted rendezvous: each sidecar ranks endpoints by its own hash, so list changes move little."""
-        ready = [m for m in self.members.values() if m.health == Health.READY]
-        ready.sort(key=lambda m: (-log((m.rank + 1) / 2**64) / m.share, m.id))
-        zone = self.settings.zone
-        self.order = [[m for m in ready if m.zone == zone], [m for m in ready if m.zone != zone]]
-        self.dirty = True
-
-    def size(self) -> int:
-        priced = self.settings.connection_price + self.settings.handshake_price > 0
-        sides = max(1, sum(map(bool, self.order)))
-        return (SUBSET_LEAST if priced else SUBSET_FREE) + int(SUBSET_GROWTH * self.peak / sides)
-
-    def refill(self, now: int) -> None:
-        self.dirty = False
-        size = self.size()
-        for side in (0, 1):
-            subset: list[Member] = []
-            out, filled, most_out = 0, 0.0, EJECT_SHARE * min(size, len(self.order[side]))
-            for member in self.order[side]:
-                if filled >= size:
-                    break
-                if member.out_until > now and out + 1 <= most_out:
-                    out += 1
-                else:
-                    subset.append(member)
-                    filled += self.warmth(member, now)  # a cold member fills a part of a place
-            self.subset[side] = subset
-        warmths = [self.warmth(m, now) for subset in self.subset for m in subset]
-        warm = sum(warmth >= 1 for warmth in warmths)
-        self.gain = (sum(warmths) - warm) / max(1, warm)
-        if warm == len(warmths):
-            self.credit = 0.0  # nothing saved up: a bulk restart would get it all at once
-        elif not warm:  # from all sidecars together a request each in two mean aims, should none answer
-            fair = sum(map(len, self.order)) / self.settings.instances
-            self.credit = min(1.0, self.credit + fair * CYCLE / 2)
-
-    def warmth(self, member: Member, now: int) -> float:
-        """The share of its work that an endpoint can do at least, by the time since its start."""
-        age, least, span = now - member.started, self.settings.cold_from, self.settings.cold_for
-        return 1.0 if not member.started or age >= span else least + (1 - least) * max(age, 0) / span
-
-    def expected(self, member: Member, kind: Kind, now: int) -> float:
-        """Expected time of a request there, a failure counted as the whole aim; old news fade to the mean."""
-        if not member.heard:
-            return kind.mean
-        fade = 1 / (1 + max(0, now - member.heard) / (FORGET * self.aim))
-        return kind.mean * (1 + (member.pace - 1) * fade) + member.fails * fade * kind.cls.aim
-
-    def idle(self, side: int, request: Pending, now: int) -> list[Member]:
-        """The warm members that may have the request: the free, else all. For a warm key, the same few."""
-        cls, key = request.cls, request.key if self.settings.warm_keys else 0
-        within = request.ran if cls.effect == Effect.KEYED else None
-        members = [
-            m for m in (self.order if key else self.subset)[side]
-            if m is not request.member and m not in request.asked and self.warmth(m, now) >= 1
-            and (within is None or same(m, within, cls.scope)) and (not key or m.out_until <= now)
-        ]  # fmt: skip
-        if key:
-            members = nsmallest(KEY_MEMBERS, members, key=lambda m: mix(m.base ^ key))
-        return [m for m in members if free(m, now)] or members
-
-    def pick(self, side: int, far: bool, request: Pending, now: int) -> Member | None:
-        """The quickest idle member, if need be across; else the less busy of two of either."""
-        members = self.idle(side, request, now)
-        if far and not (members and free(members[0], now)):
-            others = self.idle(1 - side, request, now)
-            members = others if others and free(others[0], now) else members + others
-        if not members:
-            return None
-        kind, drawn = request.kind, members if free(members[0], now) else self.choices(members, k=2)
-        rand = self.rand  # decides where nothing is known yet
-        return min(drawn, key=lambda m: (m.out_until > now, m.inflight, self.expected(m, kind, now), rand()))
-
-    def cold(self, far: bool, now: int) -> Member | None:
-        """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
-
-        All sidecars together then send it no more than that part of what a server can do; a part of what is
-        sent would be too much once many restart. Only first attempts: others come in bursts.
-        """
-        cold = [m for subset in self.subset[: 1 + far] for m in subset if self.warmth(m, now) < 1]
-        if not cold or self.credit < 1:
-            return None
-        [member] = self.choices(cold, weights=[self.warmth(m, now) for m in cold])
-        self.credit -= not member.inflight
-        return None if member.inflight else member
+    # ---- asking idle members ------------------------------------------------------------------------------
 
     def may_cross(self, cls: api.RequestClass) -> bool:
         """A crossing is worth its price only for requests worth more than it."""
-        return bool(self.subset[1]) and cls.worth > self.settings.cross_price * self.worth_mean
+        return bool(self.engines.subset[1]) and cls.worth > self.settings.cross_price * self.worth_mean
 
     def ask(self, request: Pending, now: int) -> bool:
         """Ask a few idle members by probe whether they are; the quickest to answer gets the request.
@@ -322,18 +132,18 @@
         Of many sidecars with a request a second each, nearly all members are idle to each: a slow one shows
         only after it has kept a request. Only with time left for this sidecar's longest stand-still.
         """
-        if self.dirty:
-            self.refill(now)
+        if self.engines.dirty:
+            self.engines.refill(now)
         if request.steps >= ASK_STEPS or request.expires - now < STILL_MOST:
             return False
         far = self.may_cross(request.cls) and (request.steps > 0 or self.rand() < self.crossing)
-        if not request.steps and (cold := self.cold(self.may_cross(request.cls), now)):
+        if not request.steps and (cold := self.engines.cold(self.may_cross(request.cls), now)):
             self.launch(request, cold, now)
             return True
         for side in (0, 1) if far and request.steps else (int(far),):
-            members = self.idle(side, request, now)
+            members = self.engines.idle(side, request, now)
             drawn = self.sample(members, min(2 * ASK, len(members)))
-            for member in sorted(drawn, key=lambda m: self.expected(m, request.kind, now))[:ASK]:
+            for member in sorted(drawn, key=lambda m: self.engines.expected(m, request.kind, now))[:ASK]:
                 if member.id not in self.asking:
                     self.asking[member.id] = []
                     self.out.append(api.Probe(member.id))
@@ -349,7 +159,7 @@
 
     def on_probed(self, now: int, event: api.Probed) -> None:
         waiting = self.asking.pop(event.endpoint, ())
-        member = self.members.get(event.endpoint)
+        member = self.engines.members.get(event.endpoint)
         if member is None:
             return
         far, ok = member.zone != self.settings.zone, event.outcome == Outcome.OK
@@ -387,23 +197,14 @@
         if request is not None:
             self.measure(member, event.took, outcome, request)
         member.heard = now
-        if not failed:
-            member.streak = member.ejections = 0
-            self.credit = min(1.0, self.credit + self.gain * (self.warmth(member, now) >= 1))
-            return
-        # What was out when the last failure came in tells nothing new: one long request fails all behind it.
-        if outcome == Outcome.FULL or request is None or request.sent < member.failed_at:
-            return
-        member.streak, member.failed_at = member.streak + 1, now
-        if member.streak >= FAILS_TO_EJECT and member.out_until <= now:
-            away = min(EJECT_FIRST * 2 ** min(member.ejections, 8), EJECT_MOST) * self.aim
-            member.out_until = now + int(away * (0.75 + self.rand() / 2))
-            member.ejections += 1
-            self.dirty = True
+        if failed:
+            self.engines.failed(member, outcome, request, now)
+        else:
+            self.engines.answered(member, now)
 
     def measure(self, member: Member, took: int, outcome: int, request: Pending) -> None:
         """Put an outcome into the class means, the endpoint's pace and this cycle's evidence of waiting."""
-        kind, warmth = request.kind, self.warmth(member, request.sent)
+        kind, warmth = request.kind, self.engines.warmth(member, request.sent)
         aim = request.cls.aim
         took = int(took * warmth)  # a cold one works longer: that is no queue
         if outcome in (Outcome.TIMEOUT, Outcome.FULL):
@@ -432,60 +233,7 @@
         evidence[SEEN] += not request.counted
         request.counted = wait
 
-    # ---- admission cut ------------------------------------------------------------------------------------
-
-    def level(self, event: api.Request, now: int) -> tuple[int, float]:
-        """The request's level (business x 128 + user), and its place within the level for a smooth cut."""
-        business = self.kinds[event.cls].business
-        salt = mix(now // HOUR)
-        if event.key:
-            level = business * USER_LEVELS + mix(event.key ^ salt) % USER_LEVELS
-            self.histogram[level] = self.histogram.get(level, 0.0) + 1
-            return level, 0.5
-        # Of keyless requests one sidecar sees few user levels: the fleet's mass counts as even over all. A
-        # tenant is hashed with the sidecar's number: by itself it would put much traffic on one level.
-        self.spread[business] += 1
-        place = mix(self.settings.instance ^ mix(event.tenant ^ salt))
-        return business * USER_LEVELS + place % USER_LEVELS, (place >> 7) / 2**57
-
-    def segments(self) -> list[tuple[int, int, float]]:
-        parts = [(level, 1, mass) for level, mass in self.histogram.items()]
-        return sorted(parts + [(b * USER_LEVELS, USER_LEVELS, mass) for b, mass in enumerate(self.spread)])
-
-    def raise_cut(self, share: float) -> None:
-        """Climb until the share of what passed is shed."""
-        parts = self.segments()
-        total = sum(mass for _, _, mass in parts)
-        passed = sum(mass * min(1.0, max(0.0, (at + width - self.cut) / width)) for at, width, mass in parts)
-        target = min(share * passed, passed - (1 - SHED_MOST) * total)
-        for at, width, mass in parts:
-            low = max(self.cut, at)
-            left = mass * (at + width - low) / width
-            if left <= 1e-9:
-                continue
-            if left >= target:
-                self.cut = low + max(0.0, target) * width / mass
-                return
-            target -= left
-            self.cut = float(at + width)
-
-    def ease_cut(self, share: float) -> None:
-        """Descend until the share of what arrived is let in again, at least one level: that of what passed,
-        little after a deep cut, would keep the cut up for minutes over servers long idle."""
-        parts = self.segments()
-        target = share * sum(mass for _, _, mass in parts)
-        low = max(0.0, self.cut - 1)
-        for at, width, mass in reversed(parts):
-            high = min(self.cut, at + width)
-            left = mass * (high - at) / width
-            if left <= 1e-9:
-                continue
-            if left >= target:
-                self.cut = min(low, high - target * width / mass)
-                return
-            target -= left
-            self.cut = float(at)
-        self.cut = 0.0
+    # ---- cycles and the cut -------------------------------------------------------------------------------
 
     def on_timer(self, now: int, event: api.Timer) -> None:
         if event.token != TICK:
@@ -494,10 +242,10 @@
                 self.decide(request, now)
             return
         self.out.append(api.SetTimer(int(CYCLE * self.aim), TICK))
-        self.peak *= SUBSET_SHRINK
+        self.engines.peak *= SUBSET_SHRINK
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
-            self.peak = max(self.flying, self.peak)
-        self.dirty = True
+            self.engines.peak = max(self.flying, self.engines.peak)
+        self.engines.dirty = True
         self.subscribe(now)
         self.cycle(now)
 
@@ -507,7 +255,7 @@
             member, aim = request.member, request.cls.aim
             if member and not request.coming:
                 base = min(request.kind.base or aim * BASE_GUESS, aim * BASE_MOST)
-                lasted = (now - request.sent) * self.warmth(member, request.sent)
+                lasted = (now - request.sent) * self.engines.warmth(member, request.sent)
                 wait = min(1.0, (lasted - base) / (aim - base))
                 if wait > self.over and wait > request.counted:
                     self.witness(member, request, wait)
@@ -517,8 +265,7 @@
             self.tell()
             return
         self.steer(now)
-        self.histogram = {lv: mass * HISTOGRAM_KEEP for lv, mass in self.histogram.items() if mass > 0.02}
-        self.spread = [mass * HISTOGRAM_KEEP for mass in self.spread]
+        self.admission.forget()
         for kind in self.kinds:
             (total, count), aim = kind.latency, kind.cls.aim
             if count >= enough:
@@ -547,7 +294,7 @@
         local, remote = (self.view(*(z for z in zones if (z == home) == own))[0] for own in (True, False))
         # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, and home
         # as they even out. By the time passed, as sparse cycles are long.
-        if self.order[1]:
+        if self.engines.order[1]:
             ahead = max(-0.5, min(2.0, (local - remote - self.settings.cross_price) / self.over))
             step = SPILL_STEP * (now - self.cycle_from) / (CYCLE * self.aim) * ahead
             self.crossing = min(1.0, max(0.0, self.crossing + step))
@@ -557,19 +304,19 @@
             fitting = rate * (1 - DRAIN * min(2.0, self.pressure))
             if fitting < 1 - RISE:
                 share = min(RISE_MOST, 1 - fitting)
-                self.raise_cut(share)
+                self.admission.raise_by(share)
                 self.calm = 0
                 for evidence in self.evidence:  # count the sends as if the new cut had held for them
                     evidence[SENT] *= 1 - share
-        elif self.cut > 0:
+        elif self.admission.cut > 0:
             # Spells that feed on load end only at rest, so the first steps are small; lasting calm is room.
             self.calm = min(self.calm + 1, EASE_RAMP)
             calm = (1 - max(0.0, self.pressure) / self.over) * self.calm / EASE_RAMP
-            self.ease_cut(EASE + (EASE_MOST - EASE) * calm)
+            self.admission.ease_by(EASE + (EASE_MOST - EASE) * calm)
 
     def pooled(self) -> list[list[float]]:
         """What peers share, in the order of their messages."""
-        return [*self.evidence, self.spread, *(k.latency for k in self.kinds)]
+        return [*self.evidence, self.admission.spread, *(k.latency for k in self.kinds)]
 
     def tell(self) -> None:
         """Give equal parts of the evidence to a few peers: the fleet's mean forms within some cycles."""
@@ -579,7 +326,7 @@
         for row in self.pooled():
             row[:] = [min(x / (1 + PEERS), TOLD_MOST) for x in row]
         told = [x for row in self.pooled() for x in row]
-        body = HEAD.pack(settings.zone, self.cut if self.cycles >= SETTLED else -1.0)
+        body = HEAD.pack(settings.zone, self.admission.cut if self.cycles >= SETTLED else -1.0)
         body += pack(f"<{len(told)}e", *told)
         for _ in range(PEERS):
             peer = int(self.rand() * (settings.instances - 1))
@@ -594,24 +341,25 @@
         told = iter(unpack_from(f"<{count}e", body, HEAD.size))
         heard = [[next(told) for _ in row] for row in rows]
         zones = len(self.evidence)
-        if not (all(abs(e[WAITS]) <= 2.01 * e[SEEN] for e in heard[:zones]) and -1 <= cut <= self.top):
+        sound = all(abs(e[WAITS]) <= 2.01 * e[SEEN] for e in heard[:zones])
+        if not (sound and -1 <= cut <= self.admission.top):
             return  # not something that a peer of this version says
         if not all(0 <= x <= TOLD_MOST for i, row in enumerate(heard) for x in row[i < zones :]):
             return
         for row, more in zip(rows, heard, strict=True):
             row[:] = [x + y for x, y in zip(row, more, strict=True)]
         if zone == self.settings.zone and cut >= 0:  # a restarted sidecar takes up the fleet's cut
-            self.cut += (PEER_MIX if self.cycles >= SETTLED else 1.0) * (cut - self.cut)
+            self.admission.cut += (PEER_MIX if self.cycles >= SETTLED else 1.0) * (cut - self.admission.cut)
             self.cycles = max(self.cycles, SETTLED)
 
     # ---- attempts and final answers -----------------------------------------------------------------------
 
     def on_request(self, now: int, event: api.Request) -> None:
-        level, place = self.level(event, now)
+        passes = self.admission.passes(self.kinds[event.cls].business, event, now)
         request = Pending(event, self.kinds[event.cls], self.settings.max_attempts, now)
         self.worth_mean += 0.01 * (request.cls.worth - self.worth_mean)
         self.pending[event.id] = request
-        if level + place < self.cut or event.expires <= now or self.useless(event, request.kind, now):
+        if not passes or event.expires <= now or self.useless(event, request.kind, now):
             self.finish(request, now)
         else:
             self.budget = min(RETRY_SAVED, self.budget + RETRY_SHARE)
@@ -633,12 +381,13 @@
         return not cls.late_worth and left < kind.try_left and cls.limit - left >= cls.aim
 
     def send(self, request: Pending, now: int) -> None:
-        if self.dirty:
-            self.refill(now)
+        if self.engines.dirty:
+            self.engines.refill(now)
         far = self.may_cross(request.cls)
         side = int(far and self.rand() < self.crossing)
         first = not request.attempts and not request.steps
-        member = (self.cold(far, now) if first else None) or self.pick(side, far, request, now)
+        member = self.engines.cold(far, now) if first else None
+        member = member or self.engines.pick(side, far, request, now)
         if member is not None:
             self.launch(request, member, now)
         else:
@@ -667,7 +416,7 @@
 
     def on_completed(self, now: int, event: api.Completed) -> None:
         request = self.pending.get(event.id)
-        member = self.members.get(event.endpoint)
+        member = self.engines.members.get(event.endpoint)
         if member is not None and member.inflight:
             member.inflight -= 1
             self.flying -= 1
@@ -710,14 +459,3 @@
     def on_gone(self, now: int, event: api.Gone | api.StreamStarted) -> None:
         """The client left, or a stream started: that has no deadline and is never resent."""
         self.pending.pop(event.id, None)
-
-
-def free(member: Member, now: int) -> bool:
-    """Whether none of ours is in flight there. One that is out, and kept as too many are, is no idle one."""
-    return not member.inflight and member.out_until <= now
-
-
-def same(one: Member, other: Member, scope: int) -> bool:
-    """Whether two endpoints drop each other's repeats of a keyed request."""
-    near = one.zone == other.zone and (scope == Scope.ZONE or one.cell == other.cell)
-    return scope == Scope.ALL or near
--- a/sprucenotch/sim/host.py
+++ b/sprucenotch/sim/host.py
@@ -6,7 +6,7 @@
 from typing import BinaryIO
 
 from sprucenotch import api, settings
-from sprucenotch.balance import Balancer
+from sprucenotch.policy.balance import Balancer
 from sprucenotch.sim import wire
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from sprucenotch import api
-from sprucenotch.balance import Balancer
+from sprucenotch.policy.balance import Balancer
 
 MS, SECOND = 1_000_000, 1_000_000_000
 START = 50 * SECOND
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -7,26 +7,28 @@
 
 import pytest
 
-from sprucenotch import api, balance
+from sprucenotch import api
+from sprucenotch.policy import engines
+from sprucenotch.policy.state import Pending
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 
 def test_idle_members_come_first() -> None:
     b = Bench(settings(), servers=20)
-    size = len({b.sent().endpoint for _ in range(balance.SUBSET_FREE)})
-    assert size == balance.SUBSET_FREE
+    size = len({b.sent().endpoint for _ in range(engines.SUBSET_FREE)})
+    assert size == engines.SUBSET_FREE
 
 
 def test_the_subset_is_small_and_grows_with_requests_in_flight() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
     for _ in range(50):
         b.answer(b.sent())
-    assert len(b.balancer.subset[0]) == balance.SUBSET_LEAST
+    assert len(b.balancer.engines.subset[0]) == engines.SUBSET_LEAST
     for _ in range(12):
         b.sent()
     b.tick()
     b.sent()
-    assert len(b.balancer.subset[0]) > balance.SUBSET_LEAST + 10
+    assert len(b.balancer.engines.subset[0]) > engines.SUBSET_LEAST + 10
 
 
 def test_the_subset_grows_once_for_all_zones() -> None:
@@ -36,23 +38,23 @@
         b = Bench(settings(zones=zones, probes=False), servers=0)
         b.list_of(*(endpoint(n, zone=n % zones) for n in range(1, 81)))
         b.sent()
-        least = sum(map(len, b.balancer.subset))
+        least = sum(map(len, b.balancer.engines.subset))
         for _ in range(16):
             b.sent()
         b.tick(0.01)
         b.sent()
-        sizes.append(sum(map(len, b.balancer.subset)) - least)
+        sizes.append(sum(map(len, b.balancer.engines.subset)) - least)
     assert sizes[0] >= 16 and sizes[1] == pytest.approx(sizes[0], abs=1)
 
 
 def test_list_changes_move_little_of_the_subset() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
     b.sent()
-    before = {m.id for m in b.balancer.subset[0]}
+    before = {m.id for m in b.balancer.engines.subset[0]}
     gone = next(iter(before))
     b.give(api.EndpointList(api.ListKind.DELTA, (endpoint(int.from_bytes(gone, "little"), api.Health.GONE),)))
     b.sent()
-    after = {m.id for m in b.balancer.subset[0]}
+    after = {m.id for m in b.balancer.engines.subset[0]}
     assert len(before & after) == len(before) - 1 and gone not in after
 
 
@@ -89,7 +91,7 @@
     """Each of many sidecars must meet a bad server to know it: one that does must not draw it by chance."""
     b = Bench(settings(), servers=8)
     b.balancer.kinds[0].mean = 100.0 * MS
-    for member in b.balancer.members.values():
+    for member in b.balancer.engines.members.values():
         member.heard, member.pace = b.now, 0.5 if member.id[0] <= 2 else 2.0
     for _ in range(20):
         sends = [b.sent(), b.sent()]
@@ -105,14 +107,14 @@
 
 def test_at_most_half_the_subset_is_ejected() -> None:
     """If nearly all look bad the trouble is shared: shed, but do not eject."""
-    b = Bench(settings(max_attempts=1), servers=balance.SUBSET_FREE)
+    b = Bench(settings(max_attempts=1), servers=engines.SUBSET_FREE)
     for _ in range(300):
         b.now += 5 * MS
         action = b.ask()
         if isinstance(action, api.Send):
             b.answer(action, api.Outcome.CONNECT_FAILED, 3 * MS)
     assert isinstance(b.ask(), api.Send)
-    assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
+    assert len(b.balancer.engines.subset[0]) >= engines.SUBSET_FREE // 2
 
 
 def sent_to(b: Bench, member: bytes) -> api.Send:
@@ -125,18 +127,18 @@
 def test_single_failures_between_answers_eject_nobody(outcome: api.Outcome) -> None:
     """A running server may break a connection now and then; one that fails time after time is out."""
     b = Bench(settings(max_attempts=1), servers=4)
-    [failing, *_] = b.balancer.members
+    [failing, *_] = b.balancer.engines.members
     failed = 0
-    for member in b.balancer.members.values():
+    for member in b.balancer.engines.members.values():
         member.inflight += member.id != failing  # the others are busy: an idle one that fails still draws
     for _ in range(201):
         bad = failed < 2  # two in a row, then an answer
         failed = (failed + 1) % 3
         b.answer(sent_to(b, failing), outcome if bad else api.Outcome.OK, 3 * MS)
-        assert not b.balancer.members[failing].out_until
+        assert not b.balancer.engines.members[failing].out_until
     for _ in range(3):
         b.answer(sent_to(b, failing), outcome, 3 * MS)
-    assert b.balancer.members[failing].out_until
+    assert b.balancer.engines.members[failing].out_until
 
 
 @pytest.mark.parametrize("aim", [125 * MS, 500 * MS])
@@ -145,30 +147,30 @@
     b = Bench(settings(request_class(aim=aim), max_attempts=1), servers=4)
     for _ in range(40):
         b.answer(b.sent(), api.Outcome.CONNECT_FAILED, MS)
-    out = [m.out_until - b.now for m in b.balancer.members.values() if m.out_until]
+    out = [m.out_until - b.now for m in b.balancer.engines.members.values() if m.out_until]
     assert out and all(2 * aim < left < 10 * aim for left in out)
 
 
 def test_an_endpoint_may_stay_dead_for_ever() -> None:
     """Its time out doubles only up to the most: a thousand doublings are no number any more."""
     b = Bench(settings(max_attempts=1), servers=2)
-    dead = next(iter(b.balancer.members.values()))
+    dead = next(iter(b.balancer.engines.members.values()))
     for _ in range(1500):
         b.now = max(b.now, dead.out_until) + 1
         b.tick(0)
         arrival = api.Request(0, 0, 0, 0, b.now + SECOND, 0, False)
-        request = balance.Pending(arrival, b.balancer.kinds[0], 1, b.now)
+        request = Pending(arrival, b.balancer.kinds[0], 1, b.now)
         request.sent = b.now
         b.balancer.learn(dead, api.Completed(0, 0, dead.id, api.Outcome.RESET, 1, False, ()), request, b.now)
     assert dead.ejections > 1100
-    assert b.now < dead.out_until <= b.now + int(1.25 * balance.EJECT_MOST * b.balancer.aim)
+    assert b.now < dead.out_until <= b.now + int(1.25 * engines.EJECT_MOST * b.balancer.aim)
 
 
 def test_requests_that_fail_together_count_as_one_failure() -> None:
     """One long request delays all behind it: that server is slow for a moment, not out of order."""
     b = Bench(settings(max_attempts=1), servers=4)
-    members = b.balancer.members.values()
-    for failed in range(balance.FAILS_TO_EJECT):
+    members = b.balancer.engines.members.values()
+    for failed in range(engines.FAILS_TO_EJECT):
         assert not any(m.out_until for m in members), failed
         sends = [b.sent() for _ in range(40)]
         b.now += 500 * MS
@@ -182,7 +184,7 @@
     for i in range(200):
         b.now += 5 * MS
         b.answer(b.sent(), api.Outcome.FULL if i % 50 else api.Outcome.TIMEOUT, 3 * MS)
-    assert not any(m.out_until for m in b.balancer.members.values())
+    assert not any(m.out_until for m in b.balancer.engines.members.values())
 
 
 @pytest.mark.parametrize("servers", [1, 3, 4, 7])
@@ -193,7 +195,7 @@
         b.now += 5 * MS
         b.answer(b.sent(), api.Outcome.CONNECT_FAILED, 3 * MS)
     b.sent()
-    assert len(b.balancer.subset[0]) == servers - servers // 2
+    assert len(b.balancer.engines.subset[0]) == servers - servers // 2
 
 
 def test_nothing_new_goes_to_a_draining_or_gone_endpoint() -> None:
@@ -268,7 +270,7 @@
 
 def test_a_restart_forgets_what_was_known() -> None:
     b = Bench(settings(), servers=1)
-    member = next(iter(b.balancer.members.values()))
+    member = next(iter(b.balancer.engines.members.values()))
     b.answer(b.sent(), api.Outcome.ERROR)
     assert member.fails > 0
     b.give(api.EndpointList(api.ListKind.DELTA, (endpoint(1, started=b.now),)))
@@ -322,8 +324,8 @@
     for _ in range(20):
         b.ask()
     b.tick()
-    b.balancer.refill(b.now)
-    assert len(b.balancer.subset[0]) == balance.SUBSET_LEAST
+    b.balancer.engines.refill(b.now)
+    assert len(b.balancer.engines.subset[0]) == engines.SUBSET_LEAST
 
 
 def test_a_cold_majority_gets_no_more_than_its_warmth_of_a_fair_part() -> None:
@@ -457,8 +459,8 @@
             send = b.sent(key=key)
             members.add(send.endpoint)
             b.answer(send)
-    assert all(len(members) <= balance.KEY_MEMBERS for members in met.values())
-    assert len(set.union(*met.values())) > balance.KEY_MEMBERS
+    assert all(len(members) <= engines.KEY_MEMBERS for members in met.values())
+    assert len(set.union(*met.values())) > engines.KEY_MEMBERS
 
 
 def test_a_started_stream_is_the_clients() -> None:
@@ -468,7 +470,7 @@
     assert b.give(api.StreamStarted(send.id)) == []
     b.now += 30 * SECOND
     b.tick()
-    assert b.balancer.cut == 0 and not b.balancer.pending
+    assert b.balancer.admission.cut == 0 and not b.balancer.pending
     assert b.give(api.Completed(send.id, 0, send.endpoint, api.Outcome.RESET, 30 * SECOND, True, ())) == []
     assert b.balancer.flying == 0
 
@@ -484,7 +486,7 @@
         send = b.sent()
         assert send.endpoint not in home
         b.answer(send, took=200 * MS)
-    b.now += int(2 * balance.EJECT_FIRST * b.balancer.aim)
+    b.now += int(2 * engines.EJECT_FIRST * b.balancer.aim)
     b.tick(0.25)
     assert b.sent().endpoint in home  # their time out is over
 
@@ -504,7 +506,7 @@
             b.answer(held.pop())
     for send in held:
         b.answer(send)
-    assert len({m.id for m in b.balancer.subset[0]} & dead) == 1
+    assert len({m.id for m in b.balancer.engines.subset[0]} & dead) == 1
     for _ in range(2):
         b.sent()  # the two that are up are busy
     failed = 0
@@ -534,7 +536,7 @@
     assert isinstance(sent, api.Send)
     for _ in range(6):
         b.tick()
-    assert b.balancer.pressure <= 0 and b.balancer.cut == 0
+    assert b.balancer.pressure <= 0 and b.balancer.admission.cut == 0
     b.give(api.Uploaded(1, b.now + 2 * SECOND))
     for _ in range(3):
         b.tick()
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from sprucenotch import api, balance
+from sprucenotch import api
+from sprucenotch.policy import balance
+from sprucenotch.policy.admission import SHED_MOST, USER_LEVELS
+from sprucenotch.policy.state import HOUR, mix
 from tests.helpers import MS, SECOND, Bench, endpoint, request_class, settings
 
 LOW, HIGH = request_class(worth=1.0), request_class(worth=5.0)
@@ -22,33 +25,33 @@
 
 
 def test_mix_is_the_same_in_every_process() -> None:
-    assert balance.mix(1) == 0x910A2DEC89025CC1  # splitmix64's first output for seed 1, as published
+    assert mix(1) == 0x910A2DEC89025CC1  # splitmix64's first output for seed 1, as published
 
 
 def test_business_beats_user_level_and_ties_go_to_the_user_level() -> None:
     b = bench()
-    level, place = b.balancer.level(api.Request(1, 0, 0, 7, 0, 0, False), b.now)
-    b.balancer.cut = float(level + 1)  # just above this key's level: refused
+    level, place = b.balancer.admission.level(0, api.Request(1, 0, 0, 7, 0, 0, False), b.now)
+    b.balancer.admission.cut = float(level + 1)  # just above this key's level: refused
     assert isinstance(b.ask(0, key=7), api.Refuse)
-    b.balancer.cut = float(level)
+    b.balancer.admission.cut = float(level)
     assert isinstance(b.ask(0, key=7), api.Send)
-    b.balancer.cut = float(balance.USER_LEVELS)  # all of the low business level: the high one still passes
+    b.balancer.admission.cut = float(USER_LEVELS)  # all of the low business level: the high one still passes
     assert isinstance(b.ask(0, key=7), api.Refuse) and isinstance(b.ask(1, key=7), api.Send)
-    assert 0 <= level < balance.USER_LEVELS and place == 0.5
+    assert 0 <= level < USER_LEVELS and place == 0.5
 
 
 def test_the_salt_changes_with_the_hour_and_is_alike_everywhere() -> None:
     one, other = bench(instance=1, instances=9), bench(instance=2, instances=9)
     ask = [api.Request(1, 0, 0, key, 0, 0, False) for key in range(1, 40)]
-    now = [one.balancer.level(r, b.now)[0] for b in (one, other) for r in ask]
+    now = [one.balancer.admission.level(0, r, b.now)[0] for b in (one, other) for r in ask]
     assert now[:39] == now[39:]
-    assert now[:39] != [one.balancer.level(r, one.now + balance.HOUR)[0] for r in ask]
+    assert now[:39] != [one.balancer.admission.level(0, r, one.now + HOUR)[0] for r in ask]
 
 
 def test_rise_sheds_the_share_by_the_histogram_of_keys() -> None:
     b = bench()
     feed(b, 0, 400, key=1000)
-    b.balancer.raise_cut(0.25)
+    b.balancer.admission.raise_by(0.25)
     refused = sum(isinstance(b.ask(0, key=1000 + i), api.Refuse) for i in range(400))
     assert 80 <= refused <= 120
 
@@ -57,34 +60,34 @@
     b = bench()
     feed(b, 0, 50)
     feed(b, 1, 50)
-    b.balancer.raise_cut(0.5)
-    assert b.balancer.cut == pytest.approx(balance.USER_LEVELS, abs=1)
+    b.balancer.admission.raise_by(0.5)
+    assert b.balancer.admission.cut == pytest.approx(USER_LEVELS, abs=1)
 
 
 def test_the_cut_never_sheds_all() -> None:
     b = bench()
     feed(b, 1, 50)
     for _ in range(50):
-        b.balancer.raise_cut(0.5)
-    assert b.balancer.cut <= 2 * balance.USER_LEVELS - (1 - balance.SHED_MOST) * balance.USER_LEVELS + 1
+        b.balancer.admission.raise_by(0.5)
+    assert b.balancer.admission.cut <= 2 * USER_LEVELS - (1 - SHED_MOST) * USER_LEVELS + 1
 
 
 def test_easing_is_a_share_of_arrivals_and_at_least_one_level() -> None:
     """A share of what still passes would keep a deep cut up for minutes."""
     b = bench()
     feed(b, 0, 100)
-    b.balancer.cut = 120.0
-    b.balancer.ease_cut(0.1)
-    assert b.balancer.cut == pytest.approx(120 - 12.8)
-    b.balancer.ease_cut(0.0)
-    assert b.balancer.cut == pytest.approx(120 - 12.8 - 1)
+    b.balancer.admission.cut = 120.0
+    b.balancer.admission.ease_by(0.1)
+    assert b.balancer.admission.cut == pytest.approx(120 - 12.8)
+    b.balancer.admission.ease_by(0.0)
+    assert b.balancer.admission.cut == pytest.approx(120 - 12.8 - 1)
 
 
 def test_a_cycle_without_sends_descends() -> None:
     b = bench()
-    b.balancer.cut = 50.0
+    b.balancer.admission.cut = 50.0
     b.tick()
-    assert b.balancer.cut < 50
+    assert b.balancer.admission.cut < 50
 
 
 def test_a_fleet_of_single_user_sidecars_sheds_smoothly() -> None:
@@ -95,7 +98,7 @@
             count = 0
             for i in range(200):
                 b = Bench(settings(instance=i, instances=200, tenants=tenants), servers=2)
-                b.balancer.cut = float(cut)
+                b.balancer.admission.cut = float(cut)
                 count += isinstance(b.ask(tenant=i % 3 if tenants else 0), api.Send)
             passed.append(count)
         assert passed[0] == 200 and passed[4] == 0
@@ -123,7 +126,7 @@
     for outcome in (api.Outcome.TIMEOUT, api.Outcome.FULL):
         b = bench()
         overloaded(b, outcome)
-        assert b.balancer.cut > 0, outcome
+        assert b.balancer.admission.cut > 0, outcome
 
 
 def test_dead_or_erring_endpoints_are_no_evidence_of_load() -> None:
@@ -131,7 +134,7 @@
     for outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.ERROR):
         b = bench(max_attempts=1)
         overloaded(b, outcome)
-        assert b.balancer.cut == 0, outcome
+        assert b.balancer.admission.cut == 0, outcome
 
 
 def test_one_late_answer_moves_nobody() -> None:
@@ -141,7 +144,7 @@
         b.tick()
     b.answer(b.sent(), took=3 * SECOND)
     b.tick()
-    assert b.balancer.cut == 0
+    assert b.balancer.admission.cut == 0
 
 
 def test_a_wait_is_evidence_while_it_lasts() -> None:
@@ -153,7 +156,7 @@
         b.sent()
     for _ in range(2):
         b.tick(0.25)
-    assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
+    assert b.balancer.pressure > b.balancer.over and b.balancer.admission.cut > 0
 
 
 def test_a_start_in_overload_does_not_pass_for_the_latency_without_wait() -> None:
@@ -164,7 +167,7 @@
             if isinstance(send := b.ask(), api.Send):
                 b.answer(send, took=int(0.8 * aim))
         b.tick(0.25)
-    assert b.balancer.cut > 0
+    assert b.balancer.admission.cut > 0
     assert b.balancer.kinds[0].base < 0.3 * aim < b.balancer.kinds[0].mean
 
 
@@ -178,10 +181,10 @@
 def test_waits_count_wherever_the_traffic_went() -> None:
     """All servers of the own zone have just restarted and are cold: what waits across is the overload."""
     b = bench(zones=2)
-    b.balancer.spread[0] = 100.0
+    b.balancer.admission.spread[0] = 100.0
     b.balancer.evidence = [[0.0, 0.0, 0.0, 0.0], [20.0, 20.0, 20.0, 10.0]]
     b.balancer.steer(b.now)
-    assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
+    assert b.balancer.pressure > b.balancer.over and b.balancer.admission.cut > 0
 
 
 def test_the_slow_service_of_a_cold_server_is_no_wait() -> None:
@@ -193,12 +196,12 @@
     for _ in range(8):
         for _ in range(10):
             send = b.sent()
-            warmth = b.balancer.warmth(b.balancer.members[send.endpoint], b.now)
+            warmth = b.balancer.engines.warmth(b.balancer.engines.members[send.endpoint], b.now)
             cold += warmth < 1
             b.answer(send, took=int(50 * MS / warmth))
         b.tick(0.25)
     assert cold > 20
-    assert abs(b.balancer.pressure) < 0.05 and b.balancer.cut == 0
+    assert abs(b.balancer.pressure) < 0.05 and b.balancer.admission.cut == 0
     assert b.balancer.kinds[0].mean == pytest.approx(50 * MS, rel=0.1)
 
 
@@ -219,12 +222,12 @@
     """While queues drain, answers to old sends are late; each once raised the cut further."""
     b = bench()
     b.balancer.evidence[0] = [20.0, 20.0, 10.0, 20.0]
-    b.balancer.spread[0] = 100.0
+    b.balancer.admission.spread[0] = 100.0
     b.balancer.steer(b.now)
-    assert b.balancer.cut == 0
+    assert b.balancer.admission.cut == 0
     b.balancer.evidence[0] = [20.0, 20.0, 20.0, 10.0]
     b.balancer.steer(b.now)
-    assert b.balancer.cut > 0
+    assert b.balancer.admission.cut > 0
 
 
 def test_peers_share_evidence_and_a_restarted_sidecar_takes_up_the_cut() -> None:
@@ -233,11 +236,11 @@
     for _ in range(5):
         old.tick()
     feed(old, 0, 10)
-    old.balancer.cut = 77.0
+    old.balancer.admission.cut = 77.0
     [tell] = [a for a in old.tick(0.01) if isinstance(a, api.Tell)]
     assert tell.peer == 1 and len(tell.body) <= 256
     new.give(api.PeerMessage(0, tell.body))
-    assert new.balancer.cut == pytest.approx(old.balancer.cut)
+    assert new.balancer.admission.cut == pytest.approx(old.balancer.admission.cut)
     assert new.balancer.evidence[0][balance.SEEN] > 0
 
 
@@ -247,7 +250,7 @@
     b.give(api.PeerMessage(1, body))
     size = balance.HEAD.size + 2 * sum(map(len, b.balancer.pooled()))
     b.give(api.PeerMessage(1, (body * 50)[:size].ljust(size, b"\xff")))
-    assert 0 <= b.balancer.cut < 1 and all(abs(x) < 1e6 for x in b.balancer.evidence[0])
+    assert 0 <= b.balancer.admission.cut < 1 and all(abs(x) < 1e6 for x in b.balancer.evidence[0])
     assert isinstance(b.ask(), api.Send)
 
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -208,8 +208,8 @@
             told = {"seq": 2, "whole": False, "hosts": [entry("s-3", "127.0.0.1:9", "draining")]}
             node.host.learn(config.host_list(told, node.config.names), api.ListKind.DELTA)
             balancer = node.host._balancer
-            balancer.members[config.endpoint_id("s-0")].out_until = node.host.now() + 10**12
-            balancer.refill(node.host.now())
+            balancer.engines.members[config.endpoint_id("s-0")].out_until = node.host.now() + 10**12
+            balancer.engines.refill(node.host.now())
             figures = node.host.standing.figures()
             assert (figures["known_quote_engines"], figures["skipped_quote_engines"]) == (4, 2)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -149,7 +149,7 @@
         async with endpoint(nonsense) as served, sidecar(served.dial) as node:
             code, _, _ = await (await node.client()).ask(request("post"))
             assert code == 502
-            assert [m.out_until for m in node.host._balancer.members.values()] == [0]
+            assert [m.out_until for m in node.host._balancer.engines.members.values()] == [0]
 
     run(test())
 
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -13,10 +13,10 @@
 
 from sprucenotch import api
 from sprucenotch.api import Effect, Outcome
-from sprucenotch.balance import USER_LEVELS
 from sprucenotch.node import config
 from sprucenotch.node.config import Config, ConfigError
 from sprucenotch.node.serve import reconfigure
+from sprucenotch.policy.admission import USER_LEVELS
 from tests.helpers import MS, SECOND, Bench, request_class, settings
 from tests.sidecar import (
     SETTINGS,
@@ -69,38 +69,38 @@
 
 def test_what_was_learned_of_engines_stays() -> None:
     b = Bench(settings(CHEAP, MIDDLE))
-    member = b.balancer.members[b.sent(0).endpoint]
+    member = b.balancer.engines.members[b.sent(0).endpoint]
     member.out_until, member.ejections, member.pace = b.now + SECOND, 2, 3.0
     retuned(b, MIDDLE)
-    assert b.balancer.members[member.id] is member
+    assert b.balancer.engines.members[member.id] is member
     assert (member.inflight, member.ejections, member.pace) == (1, 2, 3.0)
     assert b.balancer.flying == 1
 
 
 def test_cut_and_histogram_move_with_the_levels_of_their_classes() -> None:
     b = Bench(settings(CHEAP, DEAR))
-    b.balancer.cut = USER_LEVELS + 32.0  # all of the cheap, a quarter of the dear
-    b.balancer.histogram = {5: 2.0, USER_LEVELS + 7: 3.0}
-    b.balancer.spread = [40.0, 10.0]
+    b.balancer.admission.cut = USER_LEVELS + 32.0  # all of the cheap, a quarter of the dear
+    b.balancer.admission.histogram = {5: 2.0, USER_LEVELS + 7: 3.0}
+    b.balancer.admission.spread = [40.0, 10.0]
     retuned(b, CHEAP, MIDDLE, DEAR)
-    assert b.balancer.cut == 2 * USER_LEVELS + 32.0 and b.balancer.top == 3 * USER_LEVELS
-    assert b.balancer.histogram == {5: 2.0, 2 * USER_LEVELS + 7: 3.0}
-    assert b.balancer.spread == [40.0, 0.0, 10.0]
+    assert b.balancer.admission.cut == 2 * USER_LEVELS + 32.0 and b.balancer.admission.top == 3 * USER_LEVELS
+    assert b.balancer.admission.histogram == {5: 2.0, 2 * USER_LEVELS + 7: 3.0}
+    assert b.balancer.admission.spread == [40.0, 0.0, 10.0]
     retuned(b, CHEAP, MIDDLE)  # the class that the cut stood in is gone
-    assert b.balancer.cut == 0.0 and b.balancer.spread == [40.0, 0.0]
+    assert b.balancer.admission.cut == 0.0 and b.balancer.admission.spread == [40.0, 0.0]
 
 
 def test_no_cut_stays_none_when_a_cheaper_class_appears() -> None:
     b = Bench(settings(MIDDLE, DEAR))
     retuned(b, CHEAP, MIDDLE, DEAR)
-    assert b.balancer.cut == 0.0
+    assert b.balancer.admission.cut == 0.0
     assert isinstance(b.ask(0), api.Send)
 
 
 def test_the_same_settings_again_change_nothing() -> None:
     b = Bench(settings(CHEAP, DEAR))
     b.sent(0, key=7)
-    b.balancer.cut = 130.0
+    b.balancer.admission.cut = 130.0
     before = copy.deepcopy({k: v for k, v in vars(b.balancer).items() if k in ("histogram", "spread", "cut")})
     retuned(b, CHEAP, DEAR)
     assert {k: getattr(b.balancer, k) for k in before} == before
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 
 from sprucenotch import api
 from sprucenotch.api import NEVER_RAN, Effect, Health, Outcome, Scope
-from sprucenotch.balance import Balancer
+from sprucenotch.policy.balance import Balancer
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 GRACE = SECOND // 2
@@ -250,7 +250,11 @@
 @given(SETTINGS, st.lists(STEPS, max_size=40))
 def test_the_same_events_give_the_same_actions(config: api.Settings, steps: list[Any]) -> None:
     one, two = play(config, steps), play(config, steps)
-    assert one.told == two.told and one.owed == two.owed and one.balancer.cut == two.balancer.cut
+    assert (
+        one.told == two.told
+        and one.owed == two.owed
+        and one.balancer.admission.cut == two.balancer.admission.cut
+    )
     assert one.balancer.rand() == two.balancer.rand()
 
 
