Policy: what was learned as a value, exported and taken up by its age

Need: a process that starts anew learns pace, dead engines, latencies and the cut again while it serves. Change: Balancer.learned exports them as api.Learned, in ages and not clocks; the event Recalled takes them up. Old news of an engine fade as they do anyway, an ejection has what is left of it, the cut eases a tenth a cycle, latencies hold 50 mean aims, another start of an engine forgets it, retries are never gained. Figures that make no sense are left out. Found by the property that nothing is lost on the way: a cut at the very top (all refused but what must pass) became 0 at a change of the settings too; it stays now.

--- a/sprucenotch/api.py
+++ b/sprucenotch/api.py
@@ -117,6 +117,7 @@
 class EndpointList(NamedTuple):
     kind: int  # a ListKind
     endpoints: tuple[Endpoint, ...]
+    took: int = 0  # the call that brought it, without what it was meant to wait; 0: not known
 
 
 class Request(NamedTuple):
@@ -174,6 +175,49 @@
     settings: Settings
 
 
+class LearnedEngine(Struct, frozen=True, array_like=True):
+    """What was learned of an endpoint. Times are ages or what is left, never clocks of a dead process."""
+
+    id: EndpointId
+    started: int  # as the list had it: of another start nothing holds
+    pace: float  # its latency over the mean of its classes
+    fails: float  # share of attempts that failed
+    heard: int  # how long ago it last answered; -1: never
+    streak: int  # failures in a row
+    ejections: int
+    out: int  # how long it is still to get nothing
+
+
+class LearnedClass(Struct, frozen=True, array_like=True):
+    name: str
+    aim: int
+    level: int  # business level
+    base: float  # latency without wait
+    mean: float
+    latency: tuple[float, float]  # summed over the aim, and count
+
+
+class Learned(Struct, frozen=True, array_like=True):
+    """What the decisions have learned, as a value that another process can take up."""
+
+    engines: tuple[LearnedEngine, ...]
+    classes: tuple[LearnedClass, ...]
+    histogram: dict[int, float]  # arrivals by level
+    spread: tuple[float, ...]  # arrivals without keys, by business level
+    cut: float
+    crossing: float
+    budget: float
+    peak: float  # requests in flight
+    call: int  # what a call to discovery took; 0: not known
+
+
+class Recalled(NamedTuple):
+    """What an earlier process of this sidecar had learned, that long ago."""
+
+    learned: Learned
+    age: int
+
+
 class PeerMessage(NamedTuple):
     sender: int
     body: bytes
@@ -191,6 +235,7 @@
     | Probed
     | PeerMessage
     | Retuned
+    | Recalled
 )
 
 
--- a/sprucenotch/policy/admission.py
+++ b/sprucenotch/policy/admission.py
@@ -12,6 +12,15 @@
 SHED_MOST = 0.9  # never shed all: with no sends there is no evidence
 
 
+def moved_cut(cut: float, moved: Mapping[int, int]) -> float:
+    """Where a cut lies once the business levels have moved so; 0 where no level is left at it or above."""
+    levels = sorted(moved)
+    at = next((b for b in levels if (b + 1) * USER_LEVELS > cut), None)
+    if at is None and levels and (levels[-1] + 1) * USER_LEVELS == cut:
+        at = levels[-1]  # all of it is refused
+    return 0.0 if at is None or not cut else moved[at] * USER_LEVELS + max(0.0, cut - at * USER_LEVELS)
+
+
 class Admission:
     """The cut, and what arrived by level, by which it is moved."""
 
@@ -29,8 +38,7 @@
         spread, self.spread = self.spread, [0.0] * levels
         for b, new in moved.items():
             self.spread[new] += spread[b]
-        at = next((b for b in sorted(moved) if self.cut and (b + 1) * USER_LEVELS > self.cut), None)
-        self.cut = 0.0 if at is None else moved[at] * USER_LEVELS + max(0.0, self.cut - at * USER_LEVELS)
+        self.cut = moved_cut(self.cut, moved)
 
     def passes(self, business: int, event: api.Request, now: int) -> bool:
         """Whether a request of that business level is not below the cut; counts it as arrived."""
--- a/sprucenotch/policy/balance.py
+++ b/sprucenotch/policy/balance.py
@@ -9,11 +9,14 @@
 import random
 from struct import Struct, pack, unpack_from
 
+from msgspec import structs
+
 from sprucenotch import api
 from sprucenotch.api import Effect, Health, ListKind, Outcome
 from sprucenotch.policy.admission import Admission
-from sprucenotch.policy.engines import Engines
-from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending
+from sprucenotch.policy.engines import SUBSET_SHRINK, Engines
+from sprucenotch.policy.learned import export, take_up, within
+from sprucenotch.policy.state import CYCLE, HOUR, SECOND, SMOOTH, Kind, Member, Pending
 
 CYCLE_COUNT = 2000  # or this many sends, as in the write-up
 CYCLE_MOST = 3.0  # mean aims that a cycle short of evidence waits for more
@@ -28,7 +31,6 @@
 BASE_DRIFT = 1.0025  # the no-wait latency of a class may rise this much a cycle, to forget an old minimum
 BASE_MOST, BASE_GUESS = 0.5, 0.25  # it is at most that share of the aim; before any answer it counts as this
 LATENCY_KEEP = 0.95  # share of the class means' evidence kept from cycle to cycle: about 5 s worth
-SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 RETRY_SHARE, RETRY_SAVED = 0.1, 5.0  # retry budget: share of sends, and how much of it may be saved up
 SPILL_STEP = 0.025  # change of the chance to cross zones, a cycle, for a difference that counts as overload
 STAY_AWAY = SECOND  # advice to a refused client, where clients take any: some cycles
@@ -58,10 +60,11 @@
             api.Attached: self.on_attached, api.EndpointList: self.on_list, api.Request: self.on_request,
             api.Completed: self.on_completed, api.Gone: self.on_gone, api.Timer: self.on_timer,
             api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded, api.Probed: self.on_probed,
-            api.PeerMessage: self.on_peer, api.Retuned: lambda now, event: self.adopt(event.settings),
+            api.PeerMessage: self.on_peer, api.Recalled: self.on_recalled,
+            api.Retuned: lambda now, event: self.adopt(event.settings),
         }  # fmt: skip
         self.subscribed = not settings.discovery_on_request
-        self.ask_at = 0
+        self.ask_at = self.call = 0  # when discovery is asked; what its last call took
         self.flying = 0  # attempts out
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
         self.hop = [0, 0]  # the quickest answer to a probe, in this zone and from others
@@ -113,8 +116,24 @@
             self.ask_at = now + int((0.1 + 0.3 * self.rand()) * self.settings.ask_within)
             return
         self.subscribed |= event.kind != ListKind.CACHED
+        if event.took:
+            self.call = event.took
         self.engines.update(event.kind, event.endpoints)
 
+    def learned(self, now: int) -> api.Learned:
+        """What a successor may go on from."""
+        known = export(now, self.engines, self.kinds, self.admission)
+        return structs.replace(known, crossing=self.crossing, budget=self.budget, call=self.call)
+
+    def on_recalled(self, now: int, event: api.Recalled) -> None:
+        """Go on from what an earlier process had learned. No retries are gained by a restart."""
+        learned, age = event
+        take_up(now, age, learned, self.engines, self.kinds, self.admission)
+        self.budget = within(learned.budget, 0.0, RETRY_SAVED, self.budget)
+        cycles = age / (CYCLE * self.aim)
+        self.crossing = within(learned.crossing, 0.0, 1.0, 0.0) * (1 - SPILL_STEP) ** cycles
+        self.call = self.call or int(within(learned.call, 0, HOUR, 0))
+
     def subscribe(self, now: int) -> None:
         if not self.subscribed and now >= self.ask_at:
             self.out.append(api.Watch(True))
--- a/sprucenotch/policy/engines.py
+++ b/sprucenotch/policy/engines.py
@@ -14,6 +14,7 @@
 FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
 SUBSET_LEAST, SUBSET_FREE = 4, 8  # members of an almost idle sidecar where connections are priced, or not
 SUBSET_GROWTH = 1.5  # further members for each request in flight, over all zones, so that one is idle
+SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 FAILS_TO_EJECT = 3  # failures in a row that eject a member
 EJECT_FIRST, EJECT_MOST = 4.0, 40.0  # mean aims out of the subset, the first doubled each time
 EJECT_SHARE = 0.5  # at most this share of a subset is out: beyond that the trouble is shared
