Recovery: what a process knows goes to the next, by a folder or by a call, each part with its age

Need: a sidecar that crashes, is replaced or loses power begins with the list it was configured with alone. Change: recovery/ keeps the list as discovery told or confirmed it and the learned value, once a second and at each change, in the store; one thread writes, and put together what comes while the disk is slow. A start reads the folder also while the process before still writes, else asks that one's management listener (`state.predecessor`, 0.25 s at most). A list confirmed at most 2 s ago lets it say ready at once. Ages count by the boot's own clock; across boots they are at least the time since the boot; what is from the future or too old is left, with the reason. Without `state` nothing is loaded, opened or offered. The rig: `fleet.state`, and restarts with a power cut, for which a process's disk operations are recorded. Found by the test: a list that discovery confirmed and never had to tell was not kept; it is now.

--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib.util
 import math
 import resource
 from collections.abc import Mapping
@@ -12,7 +13,7 @@
 from msgspec import Struct
 
 from sprucenotch import api, settings
-from sprucenotch.settings import Log, WrongClock
+from sprucenotch.settings import Log, State, TestDisk, WrongClock
 
 Address: TypeAlias = tuple[str, int]
 
@@ -70,6 +71,8 @@
     known: HostList
     log: Log
     clock: WrongClock | None  # for tests: none in service
+    disk: TestDisk | None  # the same
+    state: State | None  # what is kept for the next process
     told: Mapping[str, Any]  # the file itself
 
     def check_complete(self, before: Config) -> None:
@@ -162,6 +165,8 @@
         raise ConfigError(str(problem)) from None
     except ValueError as problem:
         raise ConfigError(f"known: {problem}") from None
+    if told.state is not None and importlib.util.find_spec("xxhash") is None:
+        raise ConfigError("state needs the package xxhash, which requirements-cli.txt names")
     class_names = [c.name for c in decisions.classes]
     if "" in class_names or len(set(class_names)) < len(class_names):
         raise ConfigError(f"settings: the class names are {class_names}, each has to be there once")
@@ -184,6 +189,8 @@
         known=known,
         log=told.log,
         clock=told.clock,
+        disk=told.disk,
+        state=told.state,
         told=top,
     )
 
--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -44,6 +44,8 @@
         self._watcher: asyncio.Task[None] | None = None
         self._fetcher: asyncio.Task[None] | None = None
         self._overdue: set[asyncio.Task[HostList]] = set()
+        self._answered: int | None = None  # when discovery last said what is the newest
+        self._goes_on = False  # whether a watch is out that began right after an answer
         host.watch, host.fetch = self.watch, self.fetch
 
     def _adopt(self, config: Config) -> None:
@@ -51,6 +53,13 @@
         self._pushed = not config.settings.discovery_on_request
         self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
 
+    @property
+    def age(self) -> int | None:
+        """Nanoseconds since the list in hand was last known to be the newest; None: not to this process."""
+        if self._goes_on:  # a change would have ended it
+            return 0
+        return None if self._answered is None else self._host.now() - self._answered
+
     def start(self) -> None:
         if self._pushed:
             self.watch(True)
@@ -62,6 +71,7 @@
 
     def watch(self, on: bool) -> None:
         if self._watcher is not None and not on:
+            self._goes_on = False
             self._watcher.cancel()
             self._watcher = None
         elif on and (self._watcher is None or self._watcher.done()):
@@ -102,6 +112,7 @@
                 else:
                     told = await self._call(query, hold + self._grace)
             except CallFailed as problem:
+                self._goes_on = False
                 self._failed(problem)
                 if not self._pushed:
                     self._watcher = None
@@ -112,7 +123,9 @@
             self._give_up_overdue()  # they were asked earlier: what they still might tell is older
             if asked != self._seq and told.seq <= self._seq:
                 continue  # an overdue call was answered meanwhile, and told more
-            if not self._take(told):
+            new = self._take(told)
+            self._goes_on = not self._pushed
+            if not new:
                 await asyncio.sleep(PAUSE)
 
     async def _call_agent(self, query: str) -> HostList:
@@ -158,6 +171,7 @@
 
     def _take(self, told: HostList) -> bool:
         """Pass a list on; whether it held anything new."""
+        self._answered = self._host.now()
         if not told.whole and not told.hosts:
             self._seq = told.seq
             if not self._pushed:
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -62,7 +62,9 @@
         self.fetch: Callable[[], None] = lambda: None
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
+        self.heard: Callable[[HostList, int], None] = lambda told, kind: None
         self.told = False  # whether discovery has, since the start
+        self.handed = False  # whether the process before has handed over a list that is fresh
         self._patient_until = self.now() + TOLD_WITHIN
 
     # ---- events
@@ -92,12 +94,20 @@
         self._access = AccessLog(config.log.access_per_s)
         self.post(api.Retuned(config.settings))
 
-    def learn(self, told: HostList, kind: int) -> None:
+    def learn(self, told: HostList, kind: int, took: int = 0) -> None:
         self.listed = self.listed or bool(told.hosts)
         self.told = self.told or kind != api.ListKind.CACHED
         self.upstream.learn(told.hosts, whole=kind != api.ListKind.DELTA)
         self.telemetry.keep_engines(self.upstream)
-        self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
+        self.heard(told, kind)
+        self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts), took))
+
+    def recall(self, learned: api.Learned, age: int) -> None:
+        """Go on from what the process before had learned, so many nanoseconds ago."""
+        self.post(api.Recalled(learned, age))
+
+    def learned(self) -> api.Learned:
+        return self._balancer.learned(self.now())
 
     def confirm(self) -> None:
         """Discovery has answered that the list in hand is the newest."""
@@ -106,7 +116,7 @@
     @property
     def informed(self) -> bool:
         """Whether engines are known, by a list from discovery unless that is long in coming."""
-        return self.listed and (self.told or self.now() >= self._patient_until)
+        return self.listed and (self.told or self.handed or self.now() >= self._patient_until)
 
     def post(self, event: api.Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
--- a/sprucenotch/node/management.py
+++ b/sprucenotch/node/management.py
@@ -37,6 +37,14 @@
         }
         self._callers: dict[Caller, None] = {}
 
+    def offer(self, path: bytes, tell: Callable[[], bytes]) -> None:
+        """Serve a further call, whose answer is not text."""
+
+        def told(query: bytes) -> bytes:
+            return reply(200, [(b"Content-Type", b"application/vnd.msgpack")], tell(), close=True)
+
+        self._calls[path] = (b"GET", told)
+
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> asyncio.Server:
         return await loop.create_server(lambda: Caller(self, loop), *address)
 
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -13,6 +13,7 @@
 import sys
 
 import uvloop
+from msgspec import structs
 
 from sprucenotch.node.config import Address, Config, ConfigError, load
 from sprucenotch.node.discovery import Discovery
@@ -36,8 +37,14 @@
     """Serve until SIGTERM or SIGINT; then finish what was taken."""
     loop = asyncio.get_running_loop()
     amiss = config.clock
-    host = Host(config, loop, clock.wrong(amiss.offset_ns, amiss.drift_ppm) if amiss else clock.Clock())
+    time = clock.wrong(amiss.offset_ns, amiss.drift_ppm) if amiss else clock.Clock()
+    host = Host(config, loop, time)
     frontend = Frontend(config, host, loop)
+    recovery = None
+    if config.state is not None:  # else nothing of it is loaded
+        from sprucenotch.recovery.service import Recovery
+
+        recovery = Recovery(config, config.state, time, loop)
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
@@ -50,8 +57,18 @@
             lambda: rendered(host),
             config.callers_most,
         )
+        if recovery is not None:
+            management.offer(recovery.path, recovery.offer)
         await management.listen(loop, config.mgmt)
+    recalled = None if recovery is None else await recovery.recall()
+    if recalled is not None and recalled.hosts is not None:
+        config = structs.replace(config, known=recalled.hosts)
+        host.handed = recalled.verified
+    if recovery is not None:
+        recovery.keep(host, lambda: discovery.age)
     host.start(config.known)
+    if recalled is not None and recalled.learned is not None:
+        host.recall(recalled.learned, recalled.learned_age)
     discovery = Discovery(config, host, loop)
     discovery.start()
     taken = [config]  # the file in force
@@ -71,6 +88,8 @@
     # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
     # answer are given up by the rules for them, so this ends.
     await frontend.finished()
+    if recovery is not None:
+        recovery.close()
     event(log, logging.INFO, "drained")
 
 
--- a/sprucenotch/rig/actions.py
+++ b/sprucenotch/rig/actions.py
@@ -274,7 +274,7 @@
             stage.attempts.pop(name, None)
         if fault.revision:
             sidecar.program = stage.programs.program(fault.revision)
-        await restart(sidecar, fault.how, down, fault.knowing)
+        await restart(sidecar, fault.how, down, fault.knowing, lambda: stage.states.cut_power(name))
     elif name in stage.engines:
         await stage.engine_ends(name)
         await asyncio.sleep(down)
--- a/sprucenotch/rig/faults.py
+++ b/sprucenotch/rig/faults.py
@@ -40,9 +40,9 @@
 class Restart(OnProcesses, frozen=True, kw_only=True, tag="restart"):
     """End processes and start them again under the same names."""
 
-    how: Annotated[Literal["kill", "term", "upgrade"], Meta(description="kill, term or upgrade")] = (
-        "kill"  # upgrade: a successor beside it first, then SIGTERM
-    )
+    how: Annotated[
+        Literal["kill", "term", "upgrade", "power"], Meta(description="kill, term, upgrade or power")
+    ] = "kill"  # upgrade: a successor beside it first, then SIGTERM; power: what is not durable is lost too
     down: Span = 0  # between the end and the start
     stagger: Span = 0  # between one process and the next
     revision: str = ""  # of the program, from then on
--- a/sprucenotch/rig/plan.py
+++ b/sprucenotch/rig/plan.py
@@ -61,6 +61,9 @@
     connect_timeout: Time = SECOND // 5
     cold_share: Annotated[float, Meta(gt=0, le=1, description="a share above 0, at most 1")] = 0.5
     cold_for: Time = 5 * SECOND
+    state: Annotated[Literal["none", "folder", "call"], Meta(description="none, folder or call")] = (
+        "none"  # what a sidecar leaves to its next process, by a folder or by a call from that one
+    )
     peers: bool = False  # sidecars may send each other datagrams
     revision: str = ""  # of the program; empty for this tree
     engines_apart: bool = False  # each a process of its own; always so where a fault of a process hits one
--- a/sprucenotch/rig/sidecar.py
+++ b/sprucenotch/rig/sidecar.py
@@ -160,17 +160,21 @@
             held.close()
 
 
-How = Literal["kill", "term", "upgrade"]
+How = Literal["kill", "term", "upgrade", "power"]
 
 
-async def restart(sidecar: Sidecar, how: How, down: float, knowing: str) -> None:
-    """End a sidecar that way and start it anew."""
+async def restart(
+    sidecar: Sidecar, how: How, down: float, knowing: str, lose: Callable[[], None] = lambda: None
+) -> None:
+    """End a sidecar that way and start it anew. `lose` is what a power cut does to its disk."""
     if how == "upgrade":
         await sidecar.upgrade(knowing)
         return
-    if how == "kill":
-        sidecar.kill()
-    else:
+    if how == "term":
         await sidecar.term()
+    else:
+        sidecar.kill()
+    if how == "power":
+        lose()
     await asyncio.sleep(down)
     await sidecar.start(knowing)
--- a/sprucenotch/rig/stage.py
+++ b/sprucenotch/rig/stage.py
@@ -23,6 +23,7 @@
 from sprucenotch.rig.revision import Program, Programs
 from sprucenotch.rig.sidecar import Sidecar
 from sprucenotch.rig.standin import EngineSpec, engine
+from sprucenotch.rig.state import States
 from sprucenotch.rig.truth.history import Event
 from sprucenotch.rig.wiring import Wiring
 
@@ -98,6 +99,7 @@
             self._temporary = tempfile.TemporaryDirectory(prefix="rig-")
             self._folder = Path(self._temporary.name)
         fleet, names_ = self.plan.fleet, [f"sidecar-{n}" for n in range(self.plan.fleet.sidecars)]
+        self.states = States(self.plan, self.seed, self._folder)
         await self.discovery.start()
         for number in range(fleet.engines):
             self.engines[f"engine-{number}"] = self._engine(f"engine-{number}")
@@ -223,6 +225,7 @@
                 "peers": [peers.dial(name, peer) for peer in peers.address],
                 "peers_all": peers.dial(name, "*"),
             }
+        told |= self.states.told(name, sidecar.mgmt if sidecar.alive else "")
         if name in self.clocks:
             told["clock"] = self.clocks[name]
         return told
--- a/sprucenotch/rig/volume.py
+++ b/sprucenotch/rig/volume.py
@@ -5,7 +5,7 @@
 names any, in their order. `crash` draws one of these outcomes by seed. A sync that fails leaves what it
 should have written in doubt for good, as Linux does: later syncs do not write it.
 
-Operations of a real process are recorded through `Recorded`, in a file that outlives it, and `replay`
+Operations of a real process are recorded by `seams/recorded.py`, in a file that outlives it, and `replay`
 makes the volume of them that a power cut at that moment would have left.
 """
 
@@ -15,13 +15,14 @@
 import os
 import random
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
 
-from sprucenotch.seams.disk import Disk, File
+from sprucenotch.seams.recorded import Operation
 
 SECTOR = 512
 
@@ -233,78 +234,15 @@
         """Makes nothing durable."""
 
 
-# ---- operations of a real process
-
-
-class Operation(NamedTuple):
-    do: str
-    name: str = ""
-    other: str = ""
-    data: bytes = b""
-    size: int = 0
-
-
-class Recorded:
-    """A disk whose operations are told to a file once they are done, so that it outlives the process."""
-
-    def __init__(self, disk: Disk, record: Path) -> None:
-        self._disk = disk
-        self._record = os.open(record, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
-
-    def tell(self, operation: Operation) -> None:
-        raw = msgspec.msgpack.encode(operation)
-        os.write(self._record, len(raw).to_bytes(4, "big") + raw)
-
-    def names(self) -> list[str]:
-        return self._disk.names()
-
-    def read(self, name: str) -> bytes:
-        return self._disk.read(name)
-
-    def open(self, name: str, anew: bool = False) -> RecordedFile:
-        file = self._disk.open(name, anew)
-        self.tell(Operation("open", name, size=int(anew)))
-        return RecordedFile(self, file, name)
-
-    def rename(self, old: str, new: str) -> None:
-        self._disk.rename(old, new)
-        self.tell(Operation("rename", old, new))
-
-    def remove(self, name: str) -> None:
-        self._disk.remove(name)
-        self.tell(Operation("remove", name))
-
-    def lock(self, name: str) -> None:
-        self._disk.lock(name)
-
-    def sync_names(self) -> None:
-        self._disk.sync_names()
-        self.tell(Operation("sync names"))
-
-
-class RecordedFile:
-    def __init__(self, disk: Recorded, file: File, name: str) -> None:
-        self._disk, self._file, self._name = disk, file, name
-
-    def write(self, data: bytes) -> None:
-        self._file.write(data)
-        self._disk.tell(Operation("write", self._name, data=data))
-
-    def sync(self) -> None:
-        self._file.sync()
-        self._disk.tell(Operation("sync", self._name))
-
-    def truncate(self, size: int) -> None:
-        self._file.truncate(size)
-        self._disk.tell(Operation("truncate", self._name, size=size))
-
-    def close(self) -> None:
-        self._file.close()
-
-
-def replay(record: bytes) -> Volume:
-    """The volume after all operations of a record; one that was cut short at its end is not there."""
+def replay(record: bytes, base: Mapping[str, bytes] = MappingProxyType({})) -> Volume:
+    """The volume after all operations of a record, with these files durable before; an operation that was
+    cut short at the record's end is not there."""
     volume, files, at = Volume(), dict[str, OpenFile](), 0
+    for name, data in base.items():
+        file = volume.open(name)
+        file.write(data)
+        file.sync()
+    volume.sync_names()
     while at + 4 <= len(record):
         end = at + 4 + int.from_bytes(record[at : at + 4], "big")
         if end > len(record):
--- a/sprucenotch/seams/clock.py
+++ b/sprucenotch/seams/clock.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 MILLION = 1_000_000
 
@@ -37,3 +38,18 @@
         return int((monotonic() - began) * drift_ppm / MILLION)
 
     return Clock(lambda: wall() + offset + drift(), lambda: monotonic() + drift())
+
+
+class Moment(NamedTuple):
+    """A time that another process of this machine, or this machine after a boot, can tell the age of."""
+
+    boot: str  # which boot of the machine
+    at: int  # nanoseconds since it; sleep counts, and no wall clock moves it
+    wall: int  # nanoseconds of Unix time
+
+
+def moment(clock: Clock) -> Moment:
+    """Raises OSError where the machine tells no boot."""
+    with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
+        boot = file.read().strip()
+    return Moment(boot, time.clock_gettime_ns(time.CLOCK_BOOTTIME), clock.now())
--- /dev/null
+++ b/sprucenotch/seams/recorded.py
@@ -0,0 +1,77 @@
+"""A disk whose operations outlive the process, so that a power cut at any moment of it can be replayed."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from sprucenotch.seams.disk import Disk, File
+
+
+class Operation(NamedTuple):
+    do: str
+    name: str = ""
+    other: str = ""
+    data: bytes = b""
+    size: int = 0
+
+
+class Recorded:
+    """A disk whose operations are told to a file once they are done, so that it outlives the process."""
+
+    def __init__(self, disk: Disk, record: Path) -> None:
+        self._disk = disk
+        self._record = os.open(record, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+
+    def tell(self, operation: Operation) -> None:
+        raw = msgspec.msgpack.encode(operation)
+        os.write(self._record, len(raw).to_bytes(4, "big") + raw)
+
+    def names(self) -> list[str]:
+        return self._disk.names()
+
+    def read(self, name: str) -> bytes:
+        return self._disk.read(name)
+
+    def open(self, name: str, anew: bool = False) -> RecordedFile:
+        file = self._disk.open(name, anew)
+        self.tell(Operation("open", name, size=int(anew)))
+        return RecordedFile(self, file, name)
+
+    def rename(self, old: str, new: str) -> None:
+        self._disk.rename(old, new)
+        self.tell(Operation("rename", old, new))
+
+    def remove(self, name: str) -> None:
+        self._disk.remove(name)
+        self.tell(Operation("remove", name))
+
+    def lock(self, name: str) -> None:
+        self._disk.lock(name)
+
+    def sync_names(self) -> None:
+        self._disk.sync_names()
+        self.tell(Operation("sync names"))
+
+
+class RecordedFile:
+    def __init__(self, disk: Recorded, file: File, name: str) -> None:
+        self._disk, self._file, self._name = disk, file, name
+
+    def write(self, data: bytes) -> None:
+        self._file.write(data)
+        self._disk.tell(Operation("write", self._name, data=data))
+
+    def sync(self) -> None:
+        self._file.sync()
+        self._disk.tell(Operation("sync", self._name))
+
+    def truncate(self, size: int) -> None:
+        self._file.truncate(size)
+        self._disk.tell(Operation("truncate", self._name, size=size))
+
+    def close(self) -> None:
+        self._file.close()
--- a/sprucenotch/settings.py
+++ b/sprucenotch/settings.py
@@ -209,6 +209,25 @@
     ] = 0
 
 
+class State(Struct, frozen=True):
+    """What a process keeps for the one after it. Absent: nothing is kept, read or offered."""
+
+    dir: Text = ""  # a folder of this sidecar's own; empty: nothing on disk
+    deployment: Text = ""  # files of another are not taken
+    mode: Annotated[Literal["none", "interval", "always"], Meta(description="none, interval or always")] = (
+        "interval"
+    )
+    sync_ns: Time = 1_000_000_000  # where the mode is interval
+    oldest_ns: Time = 600_000_000_000  # what is older is not taken
+    predecessor: Address | None = None  # management address of the process before, asked where it is there
+
+
+class TestDisk(Struct, frozen=True):
+    """A disk whose operations are recorded, for tests. Absent in service."""
+
+    record: Text = ""
+
+
 class File(Struct, frozen=True):
     """A configuration file, whole. Source: the deployment's page, "What a sidecar is told"."""
 
@@ -225,6 +244,8 @@
     peers: Annotated[tuple[Address, ...] | None, Meta(description="a list of addresses")] = ()
     peers_all: Address | None = None
     clock: WrongClock | None = None
+    disk: TestDisk | None = None
+    state: State | None = None
 
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,250 @@
+"""What one process leaves to the next: how old it is, who has it, that no start waits or falls for it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import uvloop
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucenotch import api
+from sprucenotch.node.config import HostList
+from sprucenotch.recovery import predecessor
+from sprucenotch.recovery.memory import FORMAT, VERIFIED, Kept, age, back, fold, merged, recall
+from sprucenotch.recovery.service import SCHEMA
+from sprucenotch.recovery.writer import Writer
+from sprucenotch.rig import plan
+from sprucenotch.rig.play import Play
+from sprucenotch.rig.volume import Volume
+from sprucenotch.seams.clock import Moment
+from sprucenotch.store.reading import Owner
+from sprucenotch.store.store import Opened, StoreLocked, open_store
+from tests.helpers import SECOND
+from tests.sidecar import Seen, endpoint, ok, run, status
+
+NOW = Moment("this boot", 500 * SECOND, 10**18)
+OWNER = Owner("rig", "one")
+TIMES = st.integers(0, 10**19)
+MOMENTS = st.builds(Moment, st.sampled_from(("this boot", "the boot before")), TIMES, TIMES)
+LISTS = st.none() | st.builds(HostList, st.integers(0, 9), st.just(True), st.just(()))
+LEARNED = api.Learned((), (), {}, (), 7.0, 0.0, 1.0, 2.0, 0)
+KEPT = st.builds(
+    Kept, st.sampled_from((FORMAT, FORMAT, FORMAT, 2)), MOMENTS, st.none() | MOMENTS, LISTS,
+    st.none() | st.just(LEARNED),
+)  # fmt: skip
+
+
+def kept(at: Moment = NOW, seq: int | None = None) -> Kept:
+    return Kept(FORMAT, at, at, None if seq is None else HostList(seq, True, ()), LEARNED)
+
+
+# ---- ages
+
+
+@given(MOMENTS, MOMENTS, st.integers(-(10**18), 10**18))
+def test_an_age_is_never_too_small_whatever_the_wall_clock_does(then: Moment, now: Moment, jump: int) -> None:
+    passed = age(then, now)
+    if then.boot == now.boot:
+        assert passed == (now.at - then.at if now.at >= then.at else None)
+        assert passed == age(then, now._replace(wall=now.wall + jump))
+    elif passed is not None:
+        assert passed >= now.at  # the boot lies in between
+
+
+@given(KEPT, KEPT, KEPT)
+def test_records_put_together_say_the_same_in_any_grouping(a: Kept, b: Kept, c: Kept) -> None:
+    assert merged(merged(a, b), c) == merged(a, merged(b, c))
+
+
+@given(st.lists(KEPT, max_size=6), st.integers(0, 10**19))
+def test_nothing_older_than_its_bound_and_nothing_from_the_future_is_taken(
+    records: list[Kept], oldest: int
+) -> None:
+    found, left = recall(records, NOW, oldest)
+    assert found.hosts is None or 0 <= found.list_age <= oldest
+    assert found.learned is None or 0 <= found.learned_age <= oldest
+    sound = [one for one in records if one.format == FORMAT and age(one.at, NOW) is not None]
+    assert bool(left) or len(sound) == len(records)
+    if found.hosts is not None:
+        assert any(one.hosts == found.hosts for one in sound)
+
+
+# ---- the one that writes
+
+
+def writer(disk: Volume) -> Writer:
+    def opens() -> Opened[Kept]:
+        return open_store(disk, OWNER, SCHEMA, NOW.wall, "always")
+
+    made = Writer(opens, 0.01, lambda: NOW)
+    made.start()
+    return made
+
+
+def state(disk: Volume) -> Kept | None:
+    disk.unlock()
+    return fold(open_store(disk, OWNER, SCHEMA, NOW.wall).found.records, NOW)[0]
+
+
+def test_what_the_process_before_kept_stays_until_the_next_one_knows_better() -> None:
+    disk = Volume()
+    first = writer(disk)
+    first.put(kept(back(NOW, 5), seq=41))
+    assert first.close(9)
+    disk.unlock()
+    second = writer(disk)
+    for _ in range(60):  # over several compactions
+        second.put(msgspec.structs.replace(kept(back(NOW, 4)), confirmed=None))
+    assert second.close(9)
+    found = state(disk)
+    assert found is not None and found.hosts is not None and found.hosts.seq == 41
+    assert found.confirmed == back(NOW, 5) and found.at == back(NOW, 4)
+
+
+def test_a_successor_waits_for_the_lock_beside_its_work_and_then_has_all() -> None:
+    disk, freed = Volume(), threading.Event()
+    disk.lock("lock")
+    tried = threading.Event()
+
+    def opens() -> Opened[Kept]:
+        if not freed.is_set():
+            tried.set()
+            raise StoreLocked
+        disk.unlock()
+        return open_store(disk, OWNER, SCHEMA, NOW.wall, "always")
+
+    waiting = Writer(opens, 0.01, lambda: NOW)
+    waiting.start()
+    assert tried.wait(9)
+    waiting.put(kept(seq=1))
+    waiting.put(kept(seq=2))
+    freed.set()
+    while waiting.store is None or not waiting.store.sequence:
+        threading.Event().wait(0.01)
+    assert waiting.close(9)
+    found = state(disk)
+    assert found is not None and found.hosts is not None and found.hosts.seq == 2
+
+
+def test_a_disk_that_fails_is_told_and_one_that_hangs_holds_up_nobody() -> None:
+    failing = Volume()
+    broken = writer(failing)
+    broken.put(kept(seq=1))
+    while broken.store is None:
+        threading.Event().wait(0.01)
+    failing.failing = {"write", "sync"}
+    broken.put(kept(seq=2))
+    assert broken.close(9) and "Input/output" in broken.problem
+    stuck = threading.Event()
+    hanging = Volume(sleep=lambda seconds: bool(stuck.wait(60)))  # type: ignore[arg-type]
+    hanging.slow = 1.0
+    hung = writer(hanging)
+    hung.put(kept(seq=1))
+    assert not hung.close(0.05)
+    stuck.set()
+
+
+# ---- the process before
+
+
+async def called(script: Any) -> predecessor.Told:
+    async with endpoint(script) as old:
+        host, _, port = old.dial.rpartition(":")
+        return await predecessor.by_call((host, int(port)))
+
+
+def test_a_call_brings_what_the_process_before_says_or_a_reason_and_never_waits() -> None:
+    whole = msgspec.msgpack.encode(kept(seq=3))
+
+    async def says(request: Seen) -> bytes:
+        assert request.line == b"GET /api/handover HTTP/1.1"
+        return ok(whole)
+
+    async def earlier_version(request: Seen) -> bytes:
+        return status(404)
+
+    async def nonsense(request: Seen) -> bytes:
+        return ok(b"\x93nonsense")
+
+    async def cut_short(request: Seen) -> bytes:
+        return ok(whole)[:-5]
+
+    async def endless(request: Seen) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
+
+    async def hung(request: Seen) -> bytes:
+        await asyncio.Event().wait()
+        return b""
+
+    async def all_of_them() -> None:
+        assert (await called(says)).records == (kept(seq=3),)
+        for script, why in (
+            (earlier_version, "404"), (nonsense, "malformed"), (cut_short, "no answer"), (endless, "bytes"),
+            (hung, "no answer"),
+        ):  # fmt: skip
+            told = await called(script)
+            assert not told.records and why in told.why_not[0], script
+        gone = await predecessor.by_call(("127.0.0.1", 9))
+        assert not gone.records and gone.why_not
+
+    run(all_of_them())
+
+
+def test_a_disk_that_hangs_at_the_start_is_not_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(predecessor, "READ_WITHIN", 0.05)
+    stuck = threading.Event()
+    disk = Volume(sleep=lambda seconds: bool(stuck.wait(60)))  # type: ignore[arg-type]
+    disk.slow = 1.0
+
+    async def read() -> None:
+        told = await predecessor.by_folder(disk, OWNER, SCHEMA, NOW.wall)
+        assert told.why_not == ("the disk does not answer",)
+
+    run(read())
+    stuck.set()
+
+
+# ---- processes
+
+PLAN = """
+title = "Discovery goes, then sidecars start anew"
+length = "1800ms"
+settle = "100ms"
+fleet = {{ sidecars = {sidecars}, engines = 3, state = "{state}" }}
+load = {{ share = 0.3 }}
+step = [{{ do = "discovery", at = "300ms", lasts = "1500ms" }}, {restarts}]
+"""
+RESTART = '{{ do = "restart", on = "sidecar-{n}", how = "{how}", at = "400ms", knowing = "nothing" }}'
+
+
+@pytest.mark.parametrize(("kind", "hows"), [("folder", ("kill", "power", "upgrade")), ("call", ("upgrade",))])
+def test_a_process_that_starts_while_discovery_is_down_serves_by_what_was_handed_over(
+    kind: str, hows: tuple[str, ...], tmp_path: Path
+) -> None:
+    restarts = ", ".join(RESTART.format(n=n, how=how) for n, how in enumerate(hows))
+    text = PLAN.format(sidecars=len(hows), state=kind, restarts=restarts)
+    play = Play(plan.decode(text.encode()), 1, folder=tmp_path)
+    result = uvloop.run(play.run())
+    assert not result.findings and result.summary.outcomes["served"] > 10
+    for n in range(len(hows)):
+        lines = map(json.loads, play.logs[f"sidecar-{n}.1"].splitlines())
+        [said] = [line for line in lines if line["event"] == "recalled"]
+        assert said["verified"] and said["learned"] and said["list_age_ms"] * 10**6 <= VERIFIED
+    assert not list(tmp_path.glob("*.state")) or kind == "folder"
+
+
+def test_a_sidecar_without_state_loads_nothing_of_it() -> None:
+    probe = "import sys, sprucenotch.node.serve; print(*sys.modules)"
+    loaded = subprocess.run((sys.executable, "-c", probe), capture_output=True, text=True, check=True).stdout
+    assert "sprucenotch.node.serve" in loaded
+    for part in ("sprucenotch.recovery", "sprucenotch.store", "sprucenotch.rig", "xxhash"):
+        assert part not in loaded
--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -10,9 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sprucenotch.rig.volume import SECTOR, Recorded, Volume, replay
+from sprucenotch.rig.volume import SECTOR, Volume, replay
 from sprucenotch.seams import clock
 from sprucenotch.seams.disk import Disk, RealDisk
+from sprucenotch.seams.recorded import Recorded
 
 NAMES = st.sampled_from("abc")
 STEPS = st.lists(
