--- a/sprucenotch/recovery/service.py
+++ b/sprucenotch/recovery/service.py
@@ -73,8 +73,8 @@
             found = found._replace(hosts=None)  # what the platform knows is newer
         ms = 1_000_000
         event(
-            log, logging.INFO, "recalled", list=found.hosts is not None, verified=found.verified,
-            list_age_ms=found.list_age // ms, learned=found.learned is not None,
+            log, logging.INFO, "recalled", version=-1 if found.hosts is None else found.hosts.seq,
+            verified=found.verified, list_age_ms=found.list_age // ms, learned=found.learned is not None,
             learned_age_ms=found.learned_age // ms, took_ms=(moment(self._clock).at - now.at) // ms,
         )  # fmt: skip
         return found
--- a/sprucenotch/rig/play.py
+++ b/sprucenotch/rig/play.py
@@ -24,8 +24,8 @@
 from sprucenotch.rig.revision import Program
 from sprucenotch.rig.stage import Stage
 from sprucenotch.rig.summary import Summary, summarize
-from sprucenotch.rig.truth import checks
-from sprucenotch.rig.truth.history import Event, Figures, Lag
+from sprucenotch.rig.truth import checks, recovery
+from sprucenotch.rig.truth.history import Event, Figures, Lag, Process
 from sprucenotch.rig.truth.ledger import LATE_LEAST, Finding, Invariant, Ledger, Rules, Terms
 
 LAG_EVERY = 0.01  # seconds between two looks at the rig's own lateness
@@ -125,6 +125,12 @@
             finally:
                 lag.cancel()
                 self.logs = stage.logs()
+                started = {
+                    (e.name, e.life): e.at
+                    for e in stage.history
+                    if isinstance(e, Process) and e.what == "started"
+                }
+                stage.history += recovery.recalled(self.logs, started)
         self.total += self._recent
         return self._result(stage.history)
 
--- a/sprucenotch/rig/sidecar.py
+++ b/sprucenotch/rig/sidecar.py
@@ -122,6 +122,10 @@
             self._opens(False)
             self.process.kill()
 
+    def lost_power(self) -> None:
+        """What its last process had not made durable is gone."""
+        self._tell("lost power", self.life)
+
     async def term(self) -> None:
         """A planned end: SIGTERM, and SIGKILL once the rules allow it."""
         if self.alive:
@@ -176,5 +180,6 @@
         sidecar.kill()
     if how == "power":
         lose()
+        sidecar.lost_power()
     await asyncio.sleep(down)
     await sidecar.start(knowing)
--- a/sprucenotch/rig/state.py
+++ b/sprucenotch/rig/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +19,7 @@
         self._how, self._seed, self._folder = plan.fleet.state, seed, folder
         self._recorded = any(isinstance(fault, Restart) and fault.how == "power" for fault in plan.faults)
         self._bases: dict[str, dict[str, bytes]] = {}  # what a power cut left, by sidecar
-        self._cuts = 0
+        self._cuts = Counter[str]()
 
     def folder(self, name: str) -> Path:
         return self._folder / f"{name}.state"
@@ -44,9 +46,9 @@
         folder, record = self.folder(name), self._record(name)
         if not record.exists():
             return
-        self._cuts += 1
+        self._cuts[name] += 1
         volume = replay(record.read_bytes(), self._bases.get(name, {}))
-        volume.crash(hash((self._seed, self._cuts)))
+        volume.crash(random.Random(f"{self._seed} {name} {self._cuts[name]}").getrandbits(32))
         for path in folder.iterdir():
             path.unlink()
         volume.write_to(folder)
--- a/sprucenotch/rig/truth/checks.py
+++ b/sprucenotch/rig/truth/checks.py
@@ -8,6 +8,7 @@
 
 from sprucenotch.rig.truth.history import Figures, Listed, Process, Sent, Surplus
 from sprucenotch.rig.truth.ledger import Finding, Invariant, Ledger
+from sprucenotch.rig.truth.recovery import Recovered
 
 RESTART = 0.2  # seconds around a death in which a connection may belong to either process
 REFUSED = (429, 503)
@@ -244,4 +245,4 @@
 
 
 def shipped() -> tuple[Invariant, ...]:
-    return (Lost(), Overdue(), Twice(), Made(), RunTwice(), Drained(), Figured())
+    return (Lost(), Overdue(), Twice(), Made(), RunTwice(), Drained(), Figured(), Recovered())
--- a/sprucenotch/rig/truth/history.py
+++ b/sprucenotch/rig/truth/history.py
@@ -77,12 +77,23 @@
 
 class Process(Happening, frozen=True, kw_only=True):
     name: str
-    what: Literal["started", "ready", "told to end", "killed", "ended"]
+    what: Literal["started", "ready", "told to end", "killed", "ended", "lost power"]
     life: int
     code: int = 0
     version: int = 0  # of the list that a start was given
 
 
+class Recalled(Happening, frozen=True, kw_only=True):
+    """What a start of a sidecar went on from, by its log."""
+
+    sidecar: str
+    life: int
+    version: int  # of the list; -1: none
+    list_age: float  # seconds
+    learned: bool
+    refused: tuple[str, ...] = ()
+
+
 class Fault(Happening, frozen=True, kw_only=True):
     """A fault begins or is healed. Processes by name, links as "a>b"."""
 
@@ -107,7 +118,7 @@
     late: float
 
 
-Event: TypeAlias = Sent | Ended | Surplus | Ran | Listed | Told | Process | Fault | Figures | Lag
+Event: TypeAlias = Sent | Ended | Surplus | Ran | Listed | Told | Process | Recalled | Fault | Figures | Lag
 
 
 def line(event: Event) -> str:
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from msgspec import structs
+
 from sprucenotch import api, settings
 from sprucenotch.node import config
 from sprucenotch.node.exchange import Exchange
@@ -15,6 +17,8 @@
 from sprucenotch.node.serve import main
 from sprucenotch.node.telemetry import Telemetry
 from sprucenotch.node.upstream import Answer
+from sprucenotch.recovery import memory, writer
+from sprucenotch.seams.recorded import RecordedFile
 
 EVERY = 10
 LATE = 0.9  # seconds
@@ -90,6 +94,39 @@
     Exchange.serve = planted  # type: ignore[method-assign]
 
 
+def forgets_its_list() -> None:
+    put = writer.Writer.put
+    writer.Writer.put = lambda self, kept: put(self, structs.replace(kept, hosts=None))  # type: ignore[method-assign]
+
+
+def takes_everything_for_new() -> None:
+    memory.age = lambda then, now: 0
+
+
+def makes_a_list_up() -> None:
+    put = writer.Writer.put
+
+    def planted(self: writer.Writer, kept: memory.Kept) -> None:
+        if kept.hosts is not None:
+            kept = structs.replace(kept, hosts=structs.replace(kept.hosts, seq=kept.hosts.seq + 1000))
+        put(self, kept)
+
+    writer.Writer.put = planted  # type: ignore[method-assign]
+
+
+def never_syncs() -> None:
+    RecordedFile.sync = lambda self: None  # type: ignore[method-assign]
+
+
+# Those that only a start after another process shows.
+AT_STARTS: dict[str, Callable[[], None]] = {
+    "forgets its list": forgets_its_list,
+    "takes everything for new": takes_everything_for_new,
+    "makes a list up": makes_a_list_up,
+    "never syncs": never_syncs,
+    "none": lambda: None,
+}
+
 FAULTS: dict[str, tuple[Callable[[], None], str]] = {
     "answers_twice": (answers_twice, "answered twice"),
     "loses": (loses, "lost"),
@@ -101,5 +138,6 @@
 }
 
 if __name__ == "__main__":
-    FAULTS[sys.argv[1]][0]()
+    plant = AT_STARTS.get(sys.argv[1]) or FAULTS[sys.argv[1]][0]
+    plant()
     sys.exit(main())
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -23,7 +23,7 @@
 from sprucenotch.rig.process import allow_descriptors
 from sprucenotch.rig.revision import ROOT, Program
 from sprucenotch.settings import SettingsError
-from tests.planted import FAULTS
+from tests.planted import AT_STARTS, FAULTS
 from tests.sidecar import run
 
 # Every sidecar meets what its planted fault needs to show: fragile requests, engines that fail, that are
@@ -63,6 +63,33 @@
     assert all(finding.time_line for finding in result.findings if finding.rule != "telemetry untrue")
 
 
+# Each loses its process and starts again, the last two by a power cut; engines are replaced meanwhile.
+AT_STARTS_PLAN = """
+title = "planted faults at starts"
+length = "3800ms"
+settle = "100ms"
+fleet = { sidecars = 5, engines = 5, state = "folder" }
+load = { share = 0.1 }
+step = [
+    { do = "replace", on = "engine-[01]", at = "100ms", notice = "100ms" },
+    { do = "restart", on = "sidecar-[0-2]", at = "1500ms", down = "200ms" },
+    { do = "restart", on = "sidecar-[34]", how = "power", at = "3200ms" },
+]
+"""
+
+
+def test_every_planted_fault_of_what_is_kept_is_found_at_the_next_start() -> None:
+    programs = {
+        f"sidecar-{number}": Program((sys.executable, "-m", "tests.planted", name), ROOT)
+        for number, name in enumerate(AT_STARTS)
+    }
+    result = played(AT_STARTS_PLAN, 2, programs)
+    assert {(finding.who, finding.rule) for finding in result.findings} == {
+        (f"sidecar-{number}", "recovery") for number, name in enumerate(AT_STARTS) if name != "none"
+    }
+    assert result.judged["recovery"] == 5
+
+
 # ---- links
 
 
