Rig: a start's judgement is excused by faults over the sidecar, not by a lag of the rig

Symptom: with other work on the machine the planted faults of two of five starts were excused, and not found. Cause: the invariant asked whether the rig was ever late over all of the sidecar's life; its bounds (0.5 s of a record, 0.1 s of a moment) are coarser than that lateness. Change: it asks for faults alone.

--- a/sprucenotch/rig/truth/ledger.py
+++ b/sprucenotch/rig/truth/ledger.py
@@ -130,6 +130,10 @@
         """Whether a fault lay over one of these processes or links meanwhile, or the rig itself was late."""
         if any(at - late <= end and at >= begin for at, late in self._lags):
             return True
+        return self.faulted(begin, end, *names)
+
+    def faulted(self, begin: float, end: float, *names: str) -> bool:
+        """Whether a fault lay over one of them meanwhile; for what is coarser than the rig's lateness."""
         return any(self._disturbed.over(name, begin, end) for name in names)
 
     def told(self, sidecar: str, at: float) -> int:
