Store: a start makes durable what the process before had not synced, before it goes on from it

The power cut took the tail, and with it all that follows. Change: a start syncs the files that it goes on from, unless the mode is `none`.

--- a/sprucenotch/rig/cuts.py
+++ b/sprucenotch/rig/cuts.py
@@ -25,6 +25,7 @@
 FORGOTTEN = ("sync", "sync names", "checksum")
 OWNER, SCHEMA, NOW = Owner("cuts", "one"), Schema(1, bytes), 10**18
 APPENDS = 14
+KILLED = (7, 11)  # before these the process ends, however it does, and another goes on
 LONG = 700  # bytes: records that reach over sectors
 
 
@@ -66,6 +67,9 @@
     def lock(self, name: str) -> None:
         self._volume.lock(name)
 
+    def unlock(self) -> None:
+        self._volume.unlock()
+
     def sync_names(self) -> None:
         if self.spend("sync names"):
             self._volume.sync_names()
@@ -108,6 +112,9 @@
     store = open_store(disk, OWNER, SCHEMA, NOW, mode).store
     steps: Iterator[None] = iter(())
     for number in range(APPENDS):
+        if number in KILLED:  # what it had not synced is still there, and not durable
+            disk.unlock()
+            store, steps = open_store(disk, OWNER, SCHEMA, NOW, mode).store, iter(())
         if number % 5 == 4:
             steps = store.compact(list(did.appended), NOW)
         did.appended.append(record(number))
--- a/sprucenotch/store/store.py
+++ b/sprucenotch/store/store.py
@@ -176,6 +176,12 @@
         generation of their own, and only then is it set aside; the names that it has now. Raises OSError."""
         broken = list(dict.fromkeys(refusal.name for refusal in found.refused))
         if not broken:
+            # What the process before had not synced is in memory alone. Were it lost in a power cut now, all
+            # that comes after it would follow a hole, and promised records with it.
+            for name in found.files if self.mode != "none" else ():
+                file = self._disk.open(name)
+                file.sync()
+                file.close()
             self._begin_journal(now)
             self._files = len(found.files) + 1
             return ()
