--- a/sprucenotch/cli/main.py
+++ b/sprucenotch/cli/main.py
@@ -13,15 +13,17 @@
 from sprucenotch.cli import config, rig, store
 from sprucenotch.cli.demo import demo
 from sprucenotch.cli.output import Exit, fail
+from sprucenotch.cli.service import service
 from sprucenotch.cli.status import status
 
 app = typer.Typer(
     name="sprucenotch", no_args_is_help=True, rich_markup_mode=None, pretty_exceptions_enable=False,
     help="A load balancer that runs as a sidecar beside each client. Exit codes: 0 fine, 1 the answer is no, "
     "2 bad input, 3 an address cannot be used, 4 the rig was late, 5 a process of a run ended, 6 a store "
-    "cannot be used, 130 interrupted.",
+    "cannot be used, 7 a revision is not to be had, 130 interrupted.",
 )  # fmt: skip
 app.add_typer(config.app, name="config")
+rig.app.command()(service)
 app.add_typer(rig.app, name="rig")
 app.add_typer(store.app, name="store")
 app.command()(status)
--- a/sprucenotch/rig/compare.py
+++ b/sprucenotch/rig/compare.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import numpy as np
@@ -36,14 +37,19 @@
         raise RigError(
             f"{len(seeds)} paired runs that count are too few for an interval, three are the least"
         )
-    differences = np.array([second[s].result.summary.worth - first[s].result.summary.worth for s in seeds])
+    return interval([second[s].result.summary.worth - first[s].result.summary.worth for s in seeds])
+
+
+def interval(paired: Sequence[float]) -> Comparison:
+    """Of the mean of paired differences."""
+    differences = np.array(paired)
     mean = float(differences.mean())
     if np.ptp(differences) == 0:
-        return Comparison(len(seeds), mean, mean, mean)
+        return Comparison(len(paired), mean, mean, mean)
     found = stats.bootstrap(
         (differences,), np.mean, confidence_level=CONFIDENCE, n_resamples=RESAMPLES,
         rng=np.random.default_rng(1),
     )  # fmt: skip
     return Comparison(
-        len(seeds), mean, float(found.confidence_interval.low), float(found.confidence_interval.high)
+        len(paired), mean, float(found.confidence_interval.low), float(found.confidence_interval.high)
     )
