Rig, recovery: a start's log tells of a kept list also where the configuration's is newer

Cause: the kept list was version 6, 3.0 s old, and the configuration had version 9, which was taken as it should be; the log then said -1, as if nothing had been kept. Ruled out: the store, whose operations were read back one by one. Change: the event names the kept version, and says whether the configuration's was newer.

--- a/sprucenotch/recovery/service.py
+++ b/sprucenotch/recovery/service.py
@@ -69,15 +69,14 @@
             called = self._judged("call", await predecessor.by_call(address(self._state.predecessor)))
             if called.hosts is not None and (found.hosts is None or called.list_age <= found.list_age):
                 found = called
-        if found.hosts is not None and found.hosts.seq < self._known.seq and not found.verified:
-            found = found._replace(hosts=None)  # what the platform knows is newer
+        outdated = found.hosts is not None and found.hosts.seq < self._known.seq and not found.verified
         ms = 1_000_000
         event(
             log, logging.INFO, "recalled", version=-1 if found.hosts is None else found.hosts.seq,
-            verified=found.verified, list_age_ms=found.list_age // ms, learned=found.learned is not None,
+            outdated=outdated, verified=found.verified, list_age_ms=found.list_age // ms, learned=found.learned is not None,
             learned_age_ms=found.learned_age // ms, took_ms=(moment(self._clock).at - now.at) // ms,
         )  # fmt: skip
-        return found
+        return found._replace(hosts=None) if outdated else found  # what the configuration has is newer
 
     def _judged(self, by: str, told: predecessor.Told) -> Recalled:
         found, left = recall(told.records, moment(self._clock), int(self._state.oldest_ns))
