--- a/sprucenotch/recovery/service.py
+++ b/sprucenotch/recovery/service.py
@@ -73,7 +73,8 @@
         ms = 1_000_000
         event(
             log, logging.INFO, "recalled", version=-1 if found.hosts is None else found.hosts.seq,
-            outdated=outdated, verified=found.verified, list_age_ms=found.list_age // ms, learned=found.learned is not None,
+            outdated=outdated, verified=found.verified, list_age_ms=found.list_age // ms,
+            learned=found.learned is not None,
             learned_age_ms=found.learned_age // ms, took_ms=(moment(self._clock).at - now.at) // ms,
         )  # fmt: skip
         return found._replace(hosts=None) if outdated else found  # what the configuration has is newer
