--- a/sprucenotch/recovery/writer.py
+++ b/sprucenotch/recovery/writer.py
@@ -68,7 +68,8 @@
         synced = time.monotonic()
         while True:
             with self._news:
-                self._news.wait_for(lambda: self._mail is not None or self._ending, self._sync_every)
+                until_sync = max(0.0, synced + self._sync_every - time.monotonic())
+                self._news.wait_for(lambda: self._mail is not None or self._ending, until_sync)
                 kept, self._mail, ending = self._mail, None, self._ending
             if kept is not None:
                 self._keep(kept)
--- a/sprucenotch/rig/truth/recovery.py
+++ b/sprucenotch/rig/truth/recovery.py
@@ -15,7 +15,7 @@
 from sprucenotch.rig.truth.ledger import Finding, Ledger
 
 KEPT = 0.5  # seconds
-SYNCED = 2.0
+SYNCED = 1.5
 CLOCKS = 0.1  # seconds by which the rig may be late, or two processes read a moment apart
 ENDS = ("killed", "ended")
 
