Readiness and metrics say when discovery has been silent for long

Need: a process serves on while discovery is down for minutes, and nobody could see it. Change: /api/ready stays 200 and says for how many seconds, beyond 30; gauge list_age_seconds.

--- a/sprucenotch/node/management.py
+++ b/sprucenotch/node/management.py
@@ -19,11 +19,11 @@
 
 
 class Management:
-    """Answers with what its two sources say at that moment."""
+    """Answers with what its sources say at that moment. `ready` says nothing while it is not."""
 
     def __init__(
         self,
-        ready: Callable[[], bool],
+        ready: Callable[[], str],
         figures: Callable[[], dict[str, Any]],
         metrics: Callable[[], bytes],
         most: int,
@@ -66,7 +66,8 @@
         return call(query)
 
     def _tell_ready(self, query: bytes) -> bytes:
-        return _plain(200, b"ready") if self._ready() else _plain(503, b"not ready")
+        said = self._ready()
+        return _plain(200, said.encode()) if said else _plain(503, b"not ready")
 
     def _tell_figures(self, query: bytes) -> bytes:
         body = msgspec.json.encode(self._figures())
--- a/sprucenotch/node/metrics.py
+++ b/sprucenotch/node/metrics.py
@@ -62,6 +62,10 @@
                        (("", {"state": state}, count) for state, count in states.items()))  # fmt: skip
     for name, meaning in GAUGES.items():
         yield from _gauge(name, meaning, decisions[name])
+    if (age := standing.list_age()) is not None:
+        yield from _gauge(
+            "list_age_seconds", "Since discovery last said which list is the newest.", age / SECOND
+        )
     yield from _gauge("in_progress", "Requests taken and not ended.", told.in_progress)
     yield from _gauge("connections", "Connections to engines.", standing.upstream.connections)
     yield from _gauge("body_memory_bytes", "Memory reserved for bodies.", budget.used)
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -52,7 +52,7 @@
         await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
     if config.mgmt is not None:
         management = Management(
-            lambda: frontend.ready,
+            lambda: host.standing.ready() if frontend.ready else "",
             host.standing.figures,
             lambda: rendered(host),
             config.callers_most,
@@ -70,6 +70,7 @@
     if recalled is not None and recalled.learned is not None:
         host.recall(recalled.learned, recalled.learned_age)
     discovery = Discovery(config, host, loop)
+    host.standing.list_age = lambda: discovery.age
     discovery.start()
     taken = [config]  # the file in force
     loop.add_signal_handler(signal.SIGHUP, reconfigure, taken, host, frontend, discovery)
--- a/sprucenotch/node/standing.py
+++ b/sprucenotch/node/standing.py
@@ -19,6 +19,8 @@
 log = logging.getLogger(__name__)
 
 MS = 1_000_000
+SECOND = 1000 * MS
+SILENT = 30 * SECOND  # longer than any watch waits: discovery is down, or out of reach
 STATUS_EVERY = 1.0  # seconds between two status events: cuts and queues turn within a few
 
 
@@ -34,6 +36,9 @@
         self, balancer: Balancer, telemetry: Telemetry, upstream: Upstream, now: Callable[[], int]
     ) -> None:
         self._balancer, self.telemetry, self.upstream, self._now = balancer, telemetry, upstream, now
+        self.list_age: Callable[[], int | None] = lambda: (
+            None
+        )  # since discovery confirmed the list; never: None
         self.lag = 0.0  # seconds by which the loop was late at the last status
 
     def figures(self) -> dict[str, Any]:
@@ -54,6 +59,12 @@
         used = self._balancer.engines.subset
         return member.out_until > self._now() and not any(member in side for side in used)
 
+    def ready(self) -> str:
+        """How a process that serves says so: with an old list too, but not in silence."""
+        age = self.list_age()
+        silent = age is not None and age > SILENT
+        return f"ready, discovery has said nothing for {age // SECOND} s" if age and silent else "ready"
+
     def is_cold(self, endpoint: api.EndpointId) -> bool:
         member = self._balancer.engines.members.get(endpoint)
         return member is not None and self._balancer.engines.warmth(member, self._now()) < 1
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -62,7 +62,7 @@
 @contextlib.asynccontextmanager
 async def managed(node: Sidecar) -> AsyncIterator[Operators]:
     management = Management(
-        lambda: node.frontend.ready,
+        lambda: node.host.standing.ready() if node.frontend.ready else "",
         node.host.standing.figures,
         lambda: metrics.render(node.host.standing, node.host.budget),
         CALLERS,
@@ -82,7 +82,12 @@
             node.host.learn(config.host_list(told, node.config.names), api.ListKind.FULL)
             assert (await operators.get("/api/ready"))[0] == 503  # no client can come yet
             node.frontend.listening = True
-            assert (await operators.get("/api/ready"))[0] == 200
+            assert await operators.get("/api/ready") == (200, b"ready\n")
+            assert b"list_age_seconds" not in (await operators.get("/metrics"))[1]
+            node.host.standing.list_age = lambda: 42 * 10**9
+            silent = await operators.get("/api/ready")
+            assert silent == (200, b"ready, discovery has said nothing for 42 s\n")
+            assert b"sprucenotch_list_age_seconds 42.0" in (await operators.get("/metrics"))[1]
             node.frontend.draining = True
             assert (await operators.get("/api/ready"))[0] == 503
 
