Settings: a part that may be left out has its units in TOML, and its mistakes by path

Symptom, as a new user: [state] with sync = "2s" was taken and ignored, and a wrong mode was told as "state is {...}, where an object is allowed". `clock` had the same from before. Cause: the type of a part was not found behind `| None`, so neither its keys were translated nor its fields judged. Change: it is, and a part that is absent is one line of `config show`. Result: sync becomes sync_ns; state.mode is 'often', where none, interval or always is allowed; the schemas shipped are the same.

--- a/sprucenotch/config/resolve.py
+++ b/sprucenotch/config/resolve.py
@@ -38,7 +38,7 @@
         else:
             value, source = field.default, "default"
         inner, entry = settings.part_type(field.type), settings.entry_type(field.type)
-        if inner is not None:
+        if inner is not None and value is not None:
             yield from _rows(value if isinstance(value, dict) else {}, inner, below, environ)
         elif entry is not None and value:
             for number, part in enumerate(value):
--- a/sprucenotch/config/schema.py
+++ b/sprucenotch/config/schema.py
@@ -22,7 +22,7 @@
 def by_hand() -> dict[str, Any]:
     """Of the TOML form, which may not."""
     schema = _plain()
-    for kind in _structs(settings.File):
+    for kind in dict.fromkeys(_structs(settings.File)):
         told = schema["$defs"][kind.__name__]
         fields = msgspec.structs.fields(kind)
         properties = {toml.key(f): _spelled(told["properties"][f.encode_name], f) for f in fields}
--- a/sprucenotch/settings.py
+++ b/sprucenotch/settings.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from types import UnionType
 from typing import Annotated, Any, Literal, NamedTuple, TypeAlias, TypeVar, get_args, get_origin
 
 import msgspec
@@ -354,9 +355,10 @@
 
 
 def part_type(kind: Any) -> type[Struct] | None:
-    """The type of an object, if it is one."""
+    """The type of an object, if it is one, or one that may be left out."""
     inner = bare(kind)
-    return inner if isinstance(inner, type) and issubclass(inner, Struct) else None
+    choices = get_args(inner) if get_origin(inner) is UnionType else (inner,)
+    return next((c for c in choices if isinstance(c, type) and issubclass(c, Struct)), None)
 
 
 def entry_type(kind: Any) -> type[Struct] | None:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -23,6 +23,7 @@
 from sprucenotch.rig.actions import Faults
 from sprucenotch.rig.stage import Stage
 from sprucenotch.rig.trouble import Troubles
+from sprucenotch.settings import SettingsError
 from tests.sidecar import SETTINGS, configuration, run
 
 ROOT = Path(__file__).parent.parent
@@ -188,3 +189,14 @@
             assert all(e.up and e.slower == 1 for e in engines) and faults.load == 1.0
 
     run(test())
+
+
+def test_a_part_that_may_be_left_out_has_its_units_and_its_mistakes_by_path() -> None:
+    raw = EXAMPLE.read_bytes() + b'\n[state]\ndir = "/srv/one"\nsync = "2s"\n'
+    assert toml.decode(raw)["state"] == {"dir": "/srv/one", "sync_ns": 2 * 10**9}
+    for line, said in (
+        (b'mode = "often"\n', "state.mode is 'often'"),
+        (b"synk = 1\n", "state.synk is not known; sync"),
+    ):
+        with pytest.raises(SettingsError, match=said):
+            toml.decode(raw + line)
