Recovery: a wall clock that was set back does not take away what was kept

Cause: a record tells its own moment, by the boot's clock; but the store judged the whole file before, by the wall clock in its header. Change: for recovery it does not. Others of the store's users keep the check.

--- a/sprucenotch/recovery/predecessor.py
+++ b/sprucenotch/recovery/predecessor.py
@@ -36,7 +36,7 @@
     def look() -> Told:
         told = Told(())
         for _ in range(READS):
-            found = read(disk, owner, schema, now)
+            found = read(disk, owner, schema, now, future=None)  # each record tells its own moment
             told = Told(found.records, [str(refusal) for refusal in found.refused])
             if not any(refusal.reason in ("not readable", "hole") for refusal in found.refused):
                 break
--- a/sprucenotch/recovery/service.py
+++ b/sprucenotch/recovery/service.py
@@ -98,7 +98,8 @@
 
     def _opened(self) -> Opened[Kept]:
         assert self._disk is not None
-        return open_store(self._disk, self._owner, SCHEMA, self._clock.now(), self._state.mode, BOUNDS)
+        now, mode = self._clock.now(), self._state.mode
+        return open_store(self._disk, self._owner, SCHEMA, now, mode, BOUNDS, future=None)
 
     def _heard(self, told: HostList, kind: int) -> None:
         """A list, or changes of it, has come."""
--- a/sprucenotch/store/reading.py
+++ b/sprucenotch/store/reading.py
@@ -70,15 +70,23 @@
     damage: Damage | None
 
 
-def read(disk: Disk, owner: Owner, schema: Schema[R], now: int, oldest: int | None = None) -> Found[R]:
-    """Everything in the folder, judged. `now` and `oldest` are nanoseconds: Unix time, and the age beyond
-    which files are too old. Raises OSError where the folder itself cannot be read."""
+def read(
+    disk: Disk,
+    owner: Owner,
+    schema: Schema[R],
+    now: int,
+    oldest: int | None = None,
+    future: int | None = FUTURE,
+) -> Found[R]:
+    """Everything in the folder, judged. `now`, `oldest` and `future` are nanoseconds: Unix time, the age
+    beyond which files are too old, and by how much they may be ahead (None: by any time). Raises OSError
+    where the folder itself cannot be read."""
     refused: list[Refusal] = []
     snapshots, journals = dict[int, _File](), dict[int, _File]()
     names = sorted(name for name in disk.names() if NAME.fullmatch(name))
     for name in names:
         file = _file(disk, name, refused)
-        if file is None or not _ours(name, file, owner, schema, now, oldest, refused):
+        if file is None or not _ours(name, file, owner, schema, now, oldest, future, refused):
             continue
         found = NAME.fullmatch(name)
         assert found is not None
@@ -150,6 +158,7 @@
     schema: Schema[R],
     now: int,
     oldest: int | None,
+    future: int | None,
     refused: list[Refusal],
 ) -> bool:
     header = file.header
@@ -164,7 +173,7 @@
         reason = "newer schema"
     elif header.schema != schema.version and header.schema not in schema.older:
         reason = "unknown schema"
-    elif header.at > now + FUTURE:
+    elif future is not None and header.at > now + future:
         reason = "from the future"
     elif oldest is not None and header.at < now - oldest:
         reason = "too old"
--- a/sprucenotch/store/store.py
+++ b/sprucenotch/store/store.py
@@ -16,7 +16,7 @@
 
 from sprucenotch.seams.disk import Disk, File
 from sprucenotch.store.frame import End, Header, begin, encode
-from sprucenotch.store.reading import NAME, Found, Owner, Schema, read
+from sprucenotch.store.reading import FUTURE, NAME, Found, Owner, Schema, read
 
 R = TypeVar("R")
 Mode: TypeAlias = Literal["none", "interval", "always"]
@@ -216,6 +216,7 @@
     mode: Mode = "interval",
     bounds: Bounds = Bounds(),  # noqa: B008 - a value that nobody can change
     oldest: int | None = None,
+    future: int | None = FUTURE,
 ) -> Opened[R]:
     """Read what is there and go on from it. Always a start: where the folder cannot be read there are no
     records, where it cannot be written none are kept, and `problem` says why. Raises StoreLocked."""
@@ -227,7 +228,7 @@
     except OSError as problem:
         store.problem = problem.strerror or str(problem)
     try:
-        found = read(disk, owner, schema, now, oldest)
+        found = read(disk, owner, schema, now, oldest, future)
     except OSError as problem:
         store.problem = problem.strerror or str(problem)
         return Opened(store, Found((), 0, 0, (), ()), (), store.problem)
