Recovery: a property that nobody read is gone

Need: on reading the change once more, Recovery.problem had no caller; the log tells of a failing disk. Result: lint, types, tests of recovery and store pass; no behaviour changed.

--- a/sprucenotch/recovery/service.py
+++ b/sprucenotch/recovery/service.py
@@ -141,10 +141,6 @@
         """What a call for the handover gets."""
         return msgspec.msgpack.encode(self._kept(with_list=True))
 
-    @property
-    def problem(self) -> str:
-        return "" if self._writer is None else self._writer.problem
-
     def close(self) -> None:
         """The last record. The folder is the successor's once this process has ended."""
         if self._writer is not None:
