Discovery: a watch that fell silent is opened anew at once, not at the pace of a refusal

What it missed counted as told at 23.463 s, so sends were forbidden from 23.963 s on; the first of ten came at 24.127 s. n4 the same: 22.778, 24.960 s. Lines at fault: Discovery._watch took a silent watch for a refused one and posted FAILED, and Balancer.on_list then waits 0.1 to 0.4 of the time to ask in (1 to 4 s of 10), plus a cycle. The sum of the worst draw, 20 + 1 + 4 + 0.24 + answer, is over 20 + 2 + 0.5. Ruled out: sends to an engine known to drain (each sidecar whose watch was answered stopped at once), slow calls (answers took 0.3 to 0.8 s).

Change: one that fell silent is given up after hold + 0.5 s and asked anew at once by the watch itself, for no time; the sum stands beside the constants. Siblings, the same sum: a call that is refused while something missed is about to count as told is made again after 0.25 s (bounded); a moved discovery is called at once also where no watch is out (it waited up to 4 s of 4); a connection that does not come up ends a call after 1 s (it took the whole hold, 21 s); a call that does not wait has 4 s, not 1 s, as it stands in line (one of six was given up and made again).

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -16,8 +16,23 @@
 log = logging.getLogger(__name__)
 
 LIST_MOST = 16 * 1024 * 1024
-HOLD = 20.0  # how long a watch of the shared service may wait: each call costs it work
-GRACE = 1.0  # an answer is late by so much before its call is given up
+# Where discovery is asked, each call costs a service that all sidecars share, so a watch waits for long. What
+# one misses that falls silent counts as told 6 s after that, or 2 s after its wait is over if that is later,
+# which it is for a wait of 4 s or more. No request may go out later than that by more than a drain's grace.
+# So one is given up at `hold + GRACE` and opened anew at once, without a wait. The answer has what is left:
+#     hold + GRACE + answer <= hold + SILENCE_TOLD + drain's grace, of 0.5 s or more:  answer <= 2 s
+# The decisions would ask only after 0.1 to 0.4 of the time to ask in, as after a refusal: too late.
+HOLD = 20.0
+GRACE = 0.5  # an answer is late by so much before its call is given up: answers of no entries come at once
+SILENCE_TOLD = 2.0
+# A call that does not wait stands in line with those of the whole fleet, some seconds at the most. What a
+# silent one misses counts as told after 6 s: ANSWER_WITHIN + answer <= 6 s + drain's grace.
+ANSWER_WITHIN = 4.0
+CONNECT_WITHIN = 1.0  # for a connection to come up, whatever the call may wait for then
+# While something missed is about to count as told, a refused call is made again soon, not at the decisions'
+# pace: at most SILENCE_TOLD / RETRY_OWED calls more after a silence, MOVED_TOLD / RETRY_OWED after a move.
+MOVED_TOLD = 4.0  # after SIGHUP, all that discovery has to tell counts as told
+RETRY_OWED = 0.25
 # What the agent has counts as told, also while a call to it hangs: a hung one must end, and the next begin,
 # within the grace that a drain leaves. Calls to it cost nothing.
 HOLD_PUSHED, GRACE_PUSHED = 0.25, 0.2
@@ -34,6 +49,10 @@
     """A call to discovery brought no list."""
 
 
+class Silent(CallFailed):
+    """Nor did discovery say anything else, though the connection was there: what it had to tell is missed."""
+
+
 class Discovery:
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self._host, self._loop = host, loop
@@ -44,6 +63,7 @@
         self._watcher: asyncio.Task[None] | None = None
         self._fetcher: asyncio.Task[None] | None = None
         self._overdue: set[asyncio.Task[HostList]] = set()
+        self._owed_until = 0.0  # by the loop's clock: until then, what was missed does not count as told yet
         self._answered: int | None = None  # when discovery last said what is the newest
         self._goes_on = False  # whether a watch is out that began right after an answer
         host.watch, host.fetch = self.watch, self.fetch
@@ -86,9 +106,9 @@
         self._give_up_overdue()
         if self._connection is not None:
             self._connection.close()
-        if self._watcher is not None and not self._watcher.done():
-            self.watch(False)
-            self.watch(True)
+        self._owed_until = self._loop.time() + MOVED_TOLD
+        self.watch(False)
+        self.watch(True)
         if self._fetcher is not None and not self._fetcher.done():
             self._fetcher.cancel()
             self._fetcher = self._loop.create_task(self._fetch())
@@ -98,28 +118,37 @@
             self._fetcher = self._loop.create_task(self._fetch())
 
     async def _watch(self) -> None:
-        """One watch after the other. Where discovery is asked, a failed one is the last: the decisions
-        ask anew."""
+        """One watch after the other. Where discovery is asked, one that is refused or breaks is the last: the
+        decisions ask anew. One that fell silent is opened anew at once, as what it missed counts as told."""
+        silent = False
         while True:
             asked = self._seq
             # A process that nothing has been told yet asks what is new by now: a watch on a list that is the
             # newest would say nothing for as long as it holds, and the process would not know that it is.
-            hold = self._hold if self._host.told else 0.0
+            # After a silence the same holds.
+            hold = self._hold if self._host.told and not silent else 0.0
             query = f"?from={asked}&hold_ms={hold * 1000:.0f}"
             try:
                 if self._pushed:
                     told = await self._call_agent(query)
                 else:
-                    told = await self._call(query, hold + self._grace)
+                    told = await self._call(query, hold + self._grace if hold else ANSWER_WITHIN)
+            except Silent as problem:
+                self._goes_on = False
+                self._failed(problem)
+                silent = True
+                self._owed_until = self._loop.time() + SILENCE_TOLD
+                continue
             except CallFailed as problem:
                 self._goes_on = False
                 self._failed(problem)
-                if not self._pushed:
+                if not self._pushed and self._loop.time() >= self._owed_until:
                     self._watcher = None
                     self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
                     return
-                await asyncio.sleep(RETRY)
+                await asyncio.sleep(RETRY if self._pushed else RETRY_OWED)
                 continue
+            silent = False
             self._give_up_overdue()  # they were asked earlier: what they still might tell is older
             if asked != self._seq and told.seq <= self._seq:
                 continue  # an overdue call was answered meanwhile, and told more
@@ -190,11 +219,7 @@
         host, port = self._address
         self._count("lists_asked")
         request = f"GET /discovery/hosts{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
-        try:
-            async with asyncio.timeout(timeout):
-                answer = await self._exchange(request)
-        except (OSError, TimeoutError) as problem:
-            raise CallFailed(f"{type(problem).__name__} {problem}") from None
+        answer = await self._exchange(request, timeout)
         if answer is None or answer.status != 200:
             raise CallFailed("no answer" if answer is None else f"status {answer.status}")
         try:
@@ -202,7 +227,7 @@
         except (ValueError, RecursionError) as problem:
             raise CallFailed(f"malformed list: {problem}") from None
 
-    async def _exchange(self, request: bytes) -> Answer | None:
+    async def _exchange(self, request: bytes, timeout: float) -> Answer | None:
         """Send a call and wait for its answer. Until then the connection is this call's alone."""
         connection, self._connection = self._connection, None
         address = self._address
@@ -210,7 +235,7 @@
             if connection is None or not connection.usable():
                 if connection is not None:
                     connection.close()
-                _, connection = await self._loop.create_connection(Connection, *address)
+                connection = await self._connect(address)
             connection.body_most = LIST_MOST
             answered: asyncio.Future[Answer | None] = self._loop.create_future()
 
@@ -218,10 +243,13 @@
                 if not answered.done():
                     answered.set_result(answer)
 
-            answer = await answered if connection.send(request, done) else None
-        except BaseException:
+            async with asyncio.timeout(timeout):
+                answer = await answered if connection.send(request, done) else None
+        except BaseException as problem:
             if connection is not None:
                 connection.close()
+            if isinstance(problem, TimeoutError):
+                raise Silent("no answer in time") from None
             raise
         kept = self._connection is None and address == self._address
         if answer is not None and answer.status == 200 and kept:
@@ -229,3 +257,11 @@
         else:
             connection.close()
         return answer
+
+    async def _connect(self, address: Address) -> Connection:
+        try:
+            async with asyncio.timeout(CONNECT_WITHIN):
+                _, connection = await self._loop.create_connection(Connection, *address)
+        except OSError as problem:  # a time-out is one
+            raise CallFailed(f"{type(problem).__name__} {problem}") from None
+        return connection
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,150 @@
+"""The watch on the list where discovery is asked: what each way of failing leads to, and in which order."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from sprucenotch import api
+from sprucenotch.node import config, discovery
+from tests.sidecar import (
+    SETTINGS,
+    Endpoint,
+    Seen,
+    Sidecar,
+    always_ok,
+    endpoint,
+    entry,
+    never,
+    ok,
+    request,
+    run,
+    sidecar,
+    status,
+)
+
+ASKED = SETTINGS | {"Discovery": "on_request"}
+
+
+def told(seq: int, *hosts: dict[str, Any]) -> bytes:
+    return ok(json.dumps({"seq": seq, "whole": False, "hosts": hosts}).encode())
+
+
+async def called(service: Endpoint, number: int) -> list[str]:
+    """The calls so far, once there are so many: what they ask for."""
+    while len(service.seen) < number:
+        service.arrived.clear()
+        await service.arrived.wait()
+    return [seen.line.split()[1].decode().partition("?")[2] for seen in service.seen]
+
+
+def failures(node: Sidecar) -> int:
+    return sum(isinstance(e, api.EndpointList) and e.kind == api.ListKind.FAILED for e in node.events)
+
+
+def test_the_time_for_a_silent_watch_is_less_than_what_it_missed_has_until_it_counts_as_told() -> None:
+    """The formulas that stand beside the constants, with an answer that takes as long as they allow."""
+    answer, drain = 2.0, 0.5
+    assert discovery.HOLD >= 4
+    assert discovery.GRACE + answer <= discovery.SILENCE_TOLD + drain
+    assert discovery.ANSWER_WITHIN + answer <= 6 + drain
+    assert discovery.CONNECT_WITHIN + discovery.RETRY_OWED < discovery.SILENCE_TOLD
+
+
+def test_a_watch_that_fell_silent_is_opened_anew_at_once_and_its_drain_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The decisions are not asked when, and the new call holds for no time."""
+    monkeypatch.setattr(discovery, "HOLD", 0.05)
+
+    async def test() -> None:
+        async def script(seen: Seen) -> bytes:
+            if len(service.seen) == 1:
+                return told(1)
+            if len(service.seen) == 3:
+                return told(2, entry("s-0", served.dial, "draining"))
+            return await never(seen)
+
+        async with (
+            endpoint(always_ok) as served,
+            endpoint(script) as service,
+            sidecar(served.dial, discovery=service.dial, settings=ASKED) as node,
+        ):
+            node.discovery.watch(True)
+            assert (await called(service, 4))[:4] == [
+                "from=1&hold_ms=0", "from=1&hold_ms=50", "from=1&hold_ms=0", "from=2&hold_ms=50",
+            ]  # fmt: skip
+            assert failures(node) == 0
+            client = await node.client()
+            assert (await client.ask(request()))[0] == 503 and served.seen == []
+
+    run(test())
+
+
+def test_after_a_silence_a_refused_call_is_made_again_soon_and_left_to_the_decisions_only_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "HOLD", 0.05)
+    monkeypatch.setattr(discovery, "GRACE", 0.05)
+
+    async def test() -> None:
+        async def script(seen: Seen) -> bytes:
+            if len(service.seen) == 1:
+                return told(1)
+            return await never(seen) if len(service.seen) == 2 else status(503)
+
+        async with (
+            endpoint(script) as service,
+            sidecar("127.0.0.1:9", discovery=service.dial, settings=ASKED) as node,
+        ):
+            node.discovery.watch(True)
+            await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.FAILED)
+            refused = len(service.seen) - 2
+            assert 1 < refused <= 1 + discovery.SILENCE_TOLD / discovery.RETRY_OWED
+
+    run(test())
+
+
+def test_a_watch_that_was_refused_or_reset_is_left_to_the_decisions() -> None:
+    """Discovery said no, or is gone: all sidecars asking again at once would keep it so."""
+
+    async def test() -> None:
+        for answer in (status(503), None):
+
+            async def script(seen: Seen, answer: bytes | None = answer) -> bytes | None:
+                return told(1) if len(service.seen) == 1 else answer
+
+            async with (
+                endpoint(script) as service,
+                sidecar("127.0.0.1:9", discovery=service.dial, settings=ASKED) as node,
+            ):
+                node.discovery.watch(True)
+                await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.FAILED)
+                assert await called(service, 2) == ["from=1&hold_ms=0", "from=1&hold_ms=20000"]
+
+    run(test())
+
+
+def test_discovery_that_moved_is_called_at_once_also_where_no_watch_is_out() -> None:
+    """A watch has failed, and the decisions wait before they ask again, here for ever; what the new address
+    has to tell counts as told soon."""
+
+    async def refuses(seen: Seen) -> bytes:
+        return status(503)
+
+    async def test() -> None:
+        async with (
+            endpoint(refuses) as old,
+            endpoint(never) as new,
+            sidecar("127.0.0.1:9", discovery=old.dial, settings=ASKED) as node,
+        ):
+            node.discovery.watch(True)
+            await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.FAILED)
+            node.host.watch = lambda on: None
+            node.discovery.move(config.address(new.dial))
+            await new.arrived.wait()
+            assert len(old.seen) == 1
+
+    run(test())
