Client left: judged again where a request's first byte goes out; its end is seen while unread

Need: a request whose client left while it waited is not sent on later than 0.3 s after. Read for it: Host.gone left every attempt running, as ending it costs a connection; but one whose connection was still coming up was written when it was up (Attempt._open, Attempt._write), up to the time-out for connections later. And ClientConnection paused reading, behind 16 pipelined requests or with a long body that nobody took, saw the client's end only as it read on. Found on the way, at the same place: a request whose time had run out as its connection came up was written all the same, and one whose endpoint had moved in the list went to the old address, which stayed in the pool. Ruled out, by tests that pass without this change: waiting for a probe's answer, between two attempts.

Change: Attempt._write is the one place where a first byte goes out, and asks there again: READY and not moved, client there, time left. What is not wanted ends as moot and leaves its connection to others. A request that is out in part ends at once (before, only one that was still coming). While a connection is not read its socket is asked for POLLRDHUP each 0.1 s. At an end of sending the requests that wait are told at once, not once the last answer is out.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -33,6 +33,9 @@
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 TICK = 0.25  # how often a peer that is waited for is looked at
+# Nothing may be sent on for a client that left over 0.3 s ago. Its end is seen at once where its connection
+# is read; while that is paused, the socket is asked as often as this: with 0.2 s left for a late loop.
+LEFT_TICK = 0.1
 LINGER = 2.0  # after the last answer, for what the client still sends: a close would destroy the answer
 
 
@@ -53,6 +56,7 @@
         self._fresh = True  # no request has come yet
         self._overdue: asyncio.TimerHandle | None = None  # while a request is awaited or has come in part
         self._stalled: asyncio.TimerHandle | None = None  # while the client does not read, or after the end
+        self._looking: asyncio.TimerHandle | None = None  # while reading is paused
         self._patience = Patience()
         self._begin()
 
@@ -107,12 +111,40 @@
         self._ended = True
         self._in_time()
         self._watch_client(False)
+        self._look_after(False)
         self.frontend.closed(self)
         self._give_room_back()
         for exchange in self._exchanges:
             self._forget(exchange)
         self._exchanges.clear()
 
+    def eof_received(self) -> None:
+        """The client has ended its sending: it left. One that only half-closed looks the same, as the kernel
+        tells no difference. What it is still owed is not sent on; an answer on its way out goes on, and then
+        the connection is closed, as returning None asks for."""
+        for exchange in self._exchanges:
+            if exchange.answer is None:
+                self.frontend.host.gone(exchange.id)
+
+    def _look_after(self, on: bool) -> None:
+        if self._looking is not None:
+            self._looking.cancel()
+            self._looking = None
+        if on:
+            self._looking = self.frontend.loop.call_later(LEFT_TICK, self._look)
+
+    def _look(self) -> None:
+        """See whether the client left while its connection is not read: what it sent before stays unread."""
+        self._look_after(True)
+        if self._transport is None:
+            return
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        if poll.poll(0):
+            self._look_after(False)
+            self.eof_received()
+            self.close()
+
     def _forget(self, exchange: Exchange) -> None:
         """The client will not get this answer."""
         if exchange.answer is None:
@@ -185,6 +217,7 @@
         stop = not self._ended and (self._held if self._headed else self._full)
         if stop != self._stopped and self._transport is not None and not self._transport.is_closing():
             self._stopped = stop
+            self._look_after(stop)
             if stop:
                 self._transport.pause_reading()
             else:
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -196,12 +196,13 @@
         self.post(api.Uploaded(rid, request.expires))
 
     def gone(self, rid: int) -> None:
-        """The client left. An attempt that is out goes on, as ending it would only cost a connection; but not
-        without the rest of its request."""
+        """The client left. An attempt whose request is out goes on: ending it would only cost a connection.
+        One that waits for its connection ends once that is up, for others to use (`_wanted`); one that is
+        out in part ends at once, so that it never runs."""
         if (request := self._conclude(rid)) is not None:
             self.ended(rid)
             self.post(api.Gone(rid))
-            if request.coming and request.attempt is not None:
+            if request.attempt is not None and request.attempt.partial:
                 request.attempt.abandon(Outcome.CANCELLED)
 
     def ended(self, rid: int, broken: bool = False) -> None:
@@ -278,8 +279,7 @@
             self._moot(action, request)
             return
         spent = request.upload is not None and request.upload.started  # what was handed on is held no more
-        late = not request.coming and now >= request.expires
-        if spent or late or request.attempts >= request.tries:
+        if spent or not self._wanted(request) or request.attempts >= request.tries:
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
@@ -288,7 +288,12 @@
             self.count("cold_sends")
         done = partial(self._completed, request, number)
         attempt = self.upstream.attempt(
-            action.endpoint, partial(request.payload, self.now), done, self._written, request.upload
+            action.endpoint,
+            partial(request.payload, self.now),
+            done,
+            self._written,
+            partial(self._wanted, request),
+            request.upload,
         )
         if attempt is None:
             done(Outcome.CONNECT_FAILED, None)
@@ -298,6 +303,10 @@
             self._wait(request, attempt)
         attempt.start()
 
+    def _wanted(self, request: Open) -> bool:
+        """Whether it may still go out: somebody waits for its answer, and there is time for one."""
+        return not request.answered and (request.coming or self.now() < request.expires)
+
     def _wait(self, request: Open, attempt: Attempt) -> None:
         """Wait for this attempt no longer than was decided; half of that for the whole of a short answer."""
         if request.timeout and request.sent + request.timeout < request.expires:
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -13,7 +13,7 @@
 import httptools
 
 from sprucenotch.api import EndpointId, Health, Outcome
-from sprucenotch.node.config import SECOND, Config, Host
+from sprucenotch.node.config import SECOND, Address, Config, Host
 from sprucenotch.node.stream import LAST_CHUNK, READ_BUFFER, STALLED, WHOLE_MOST, Stream, chunk, nothing
 
 HEAD_MOST = 32 * 1024
@@ -63,6 +63,7 @@
         self.whole = False  # the last byte of the request has gone out
         self._stalled: asyncio.TimerHandle | None = None
         self.idle_since = 0
+        self.dial: Address | None = None  # of the endpoint
         self.body_most = WHOLE_MOST
         self.streams = False  # a longer body is passed on as it comes; else it is an error
 
@@ -306,6 +307,11 @@
             self._keep = self._parser.should_keep_alive()
 
 
+def always() -> bool:
+    """For an attempt that nothing but its endpoint can make unwanted."""
+    return True
+
+
 class Pool:
     """What is held to one endpoint."""
 
@@ -315,13 +321,17 @@
         self.name, self.dial, self.health = host.name, host.dial, host.endpoint.health
         self.idle: list[Connection] = []
 
+    def takes(self, connection: Connection) -> bool:
+        """Whether something new may go out there: the endpoint wants it, and has not moved meanwhile."""
+        return self.health == Health.READY and connection.dial == self.dial
+
 
 class Attempt:
     """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
         "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_pool", "_upload",
-        "_upstream", "_written",
+        "_upstream", "_wanted", "_written",
     )  # fmt: skip
 
     def __init__(
@@ -331,10 +341,11 @@
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
         written: Callable[[], None],
+        wanted: Callable[[], bool],
         upload: Stream | None,
     ) -> None:
         self._upstream, self._pool, self._payload = upstream, pool, payload
-        self._written, self._upload = written, upload
+        self._written, self._wanted, self._upload = written, wanted, upload
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
@@ -355,6 +366,11 @@
         if self._connection is not None:
             self._connection.eager = True
 
+    @property
+    def partial(self) -> bool:
+        """Whether the request has gone out in part: ended here, it never runs."""
+        return self._connection is not None and not self._connection.whole
+
     def abandon(self, outcome: int) -> None:
         """Stop waiting: the connection closes before anything else happens for the request."""
         if self._connect is not None:
@@ -374,14 +390,18 @@
                 self._upstream.give(self._pool, connection)
         elif connection is None:
             self._end(Outcome.CONNECT_FAILED, None)
-        elif self._pool.health != Health.READY:
-            # It began to drain or went while the connection came up: nothing new may go to it.
-            connection.close()
-            self._end(Outcome.CONNECT_FAILED, None)
         else:
             self._write(connection)
 
     def _write(self, connection: Connection) -> None:
+        """The one place where the first byte of a request goes out. It was decided a while ago, so all that
+        may have changed meanwhile is judged again: the endpoint may drain, be gone or have moved, the client
+        may have left, the time be over."""
+        wanted = self._wanted()
+        if not wanted or not self._pool.takes(connection):
+            self._upstream.give(self._pool, connection)
+            self._end(Outcome.CONNECT_FAILED if wanted else Outcome.MOOT, None)
+            return
         self._connection = connection
         free = partial(self._upstream.give, self._pool, connection)
         if not connection.send(self._payload(), self._answered, self._written, free, self._upload):
@@ -484,13 +504,15 @@
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
         written: Callable[[], None] = nothing,
+        wanted: Callable[[], bool] = always,
         upload: Stream | None = None,
     ) -> Attempt | None:
-        """A new attempt, not yet started; None where the endpoint wants nothing new."""
+        """A new attempt, not yet started; None where the endpoint wants nothing new. `wanted` is asked again
+        when its first byte is about to go out."""
         pool = self._pools.get(endpoint)
         if pool is None or pool.health != Health.READY:
             return None
-        return Attempt(self, pool, payload, done, written, upload)
+        return Attempt(self, pool, payload, done, written, wanted, upload)
 
     def probe(self, endpoint: EndpointId, done: Callable[[int, int, tuple[float, ...]], None]) -> None:
         began = self._now()
@@ -547,7 +569,7 @@
         return None
 
     def give(self, pool: Pool, connection: Connection) -> None:
-        if pool.health == Health.READY and connection.usable():
+        if pool.takes(connection) and connection.usable():
             connection.idle_since = now = self._now()
             pool.idle.append(connection)
             # The newest is used first, so the surplus gathers at the old end; the last one stays.
@@ -566,9 +588,9 @@
 
         connection = Connection(lost)
         connection.streams = True
+        connection.dial = host, port = pool.dial
         self._open += 1
         self._count("handshakes")
-        host, port = pool.dial
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await self.loop.create_connection(lambda: connection, host, port)
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,232 @@
+"""A client that leaves while its request waits: whatever it waits for, nothing is sent on for it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator
+
+import pytest
+
+from sprucenotch import api
+from sprucenotch.api import Outcome
+from sprucenotch.node import config
+from sprucenotch.node.frontend import LEFT_TICK, PIPELINE_MOST
+from sprucenotch.node.upstream import Connection, Pool
+from tests.sidecar import (
+    SETTINGS,
+    Client,
+    Endpoint,
+    Seen,
+    Sidecar,
+    always_ok,
+    endpoint,
+    entry,
+    never,
+    ok,
+    request,
+    run,
+    sidecar,
+    status,
+)
+
+ALONE = SETTINGS | {"Limits": SETTINGS["Limits"] | {"Peers": False}}  # members are asked by probe
+
+
+def gone(event: api.Event) -> bool:
+    return isinstance(event, api.Gone)
+
+
+def completed(event: api.Event) -> bool:
+    return isinstance(event, api.Completed)
+
+
+class LateConnections:
+    """Connections to endpoints come up, in truth, but only once they are let."""
+
+    def __init__(self, node: Sidecar) -> None:
+        self.coming, self.let = asyncio.Event(), asyncio.Event()
+        self._connect = node.host.upstream.connect
+        node.host.upstream.connect = self.connect  # type: ignore[method-assign]
+
+    async def connect(self, pool: Pool) -> Connection:
+        connection = await self._connect(pool)
+        self.coming.set()
+        await self.let.wait()
+        return connection
+
+
+@contextlib.asynccontextmanager
+async def late() -> AsyncIterator[tuple[Endpoint, Sidecar, LateConnections]]:
+    async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+        yield served, node, LateConnections(node)
+
+
+async def fin(client: Client) -> None:
+    client.writer.close()
+
+
+async def half(client: Client) -> None:
+    client.writer.write_eof()
+
+
+async def reset(client: Client) -> None:
+    linger = struct.pack("ii", 1, 0)
+    client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    client.writer.transport.abort()
+
+
+WAYS = pytest.mark.parametrize("leave", [fin, half, reset])
+
+
+@WAYS
+def test_while_its_connection_comes_up_which_is_kept_for_others(leave: object) -> None:
+    async def test() -> None:
+        async with late() as (served, node, connections):
+            client = await node.client()
+            client.writer.write(request())
+            await connections.coming.wait()
+            await leave(client)  # type: ignore[operator]
+            await node.event(gone)
+            connections.let.set()
+            outcome = await node.event(completed)
+            assert (outcome.outcome, outcome.over) == (Outcome.MOOT, True) and served.seen == []
+            other = await node.client()
+            assert (await other.ask(request()))[0] == 200
+            assert (served.connections, len(served.seen)) == (1, 1)
+
+    run(test())
+
+
+def test_while_the_time_of_its_request_runs_out_as_the_connection_comes_up() -> None:
+    """No client left here, but no time is left either: the same check."""
+
+    async def test() -> None:
+        async with late() as (served, node, connections):
+            client = await node.client()
+            client.writer.write(request())
+            await connections.coming.wait()
+            [one] = node.host._open.values()
+            one.expires = node.host.now()
+            connections.let.set()
+            assert (await node.event(completed)).outcome == Outcome.MOOT
+            assert (await client.answer())[0] == 503 and served.seen == []
+
+    run(test())
+
+
+def test_while_a_member_is_asked_by_probe() -> None:
+    async def test() -> None:
+        answer = asyncio.Event()
+
+        async def script(seen: Seen) -> bytes:
+            await answer.wait()
+            return ok(b"")
+
+        async with endpoint(script) as served, sidecar(served.dial, settings=ALONE) as node:
+            client = await node.client()
+            client.writer.write(request())
+            await served.arrived.wait()
+            client.writer.close()
+            await node.event(gone)
+            answer.set()
+            await node.event(lambda e: isinstance(e, api.Probed) and e.outcome == Outcome.OK)
+            late = await node.client()  # what was queued by then has been done once this one is answered
+            assert (await late.ask(request()))[0] == 200
+            asked = [seen.line.split()[1].partition(b"?")[0] for seen in served.seen]
+            assert asked.count(b"/api") == 1
+
+    run(test())
+
+
+def test_between_two_attempts() -> None:
+    async def test() -> None:
+        answer = asyncio.Event()
+
+        async def declines(seen: Seen) -> bytes:
+            await answer.wait()
+            return status(503, b"Srv-Declined: 1")
+
+        async with (
+            endpoint(declines) as one,
+            endpoint(declines) as other,
+            sidecar(one.dial, other.dial) as node,
+        ):
+            client = await node.client()
+            client.writer.write(request())
+            while not one.seen and not other.seen:
+                await asyncio.sleep(0)
+            client.writer.close()
+            await node.event(gone)
+            answer.set()
+            assert (await node.event(completed)).over
+            assert len(one.seen) + len(other.seen) == 1
+
+    run(test())
+
+
+@WAYS
+def test_behind_others_on_a_connection_that_is_read_no_further(leave: object) -> None:
+    """So many requests wait that reading is paused, and more lies unread: only the socket tells the end."""
+
+    async def test() -> None:
+        async with late() as (served, node, connections):
+            client = await node.client()
+            client.writer.write(request() * PIPELINE_MOST)
+            await connections.coming.wait()
+            while len(node.host._open) < PIPELINE_MOST:
+                await asyncio.sleep(0)
+            client.writer.write(request())
+            await leave(client)  # type: ignore[operator]
+            while sum(map(gone, node.events)) < PIPELINE_MOST:
+                node.changed.clear()
+                await node.changed.wait()
+            assert LEFT_TICK <= 0.1  # a third of what the terms allow
+            connections.let.set()
+            while node.host._open:
+                await asyncio.sleep(0)
+            assert served.seen == []
+
+    run(test())
+
+
+@WAYS
+def test_while_its_long_body_waits_for_the_connection_and_is_read_no_further(leave: object) -> None:
+    async def test() -> None:
+        async with late() as (served, node, connections):
+            client = await node.client()
+            client.writer.transport.set_write_buffer_limits(0)
+            head = request("post", body=b"-").replace(b"Length: 1\r", b"Length: 80000\r")[:-1]
+            client.writer.write(head + b"-" * 80_000)
+            await client.writer.drain()
+            await connections.coming.wait()
+            [connection] = node.frontend._connections
+            while not connection._stopped:
+                await asyncio.sleep(0)
+            await leave(client)  # type: ignore[operator]
+            await node.event(gone)
+            connections.let.set()
+            assert (await node.event(completed)).outcome == Outcome.MOOT
+            assert served.seen == [] and node.host.budget.used == 0
+
+    run(test())
+
+
+def test_an_endpoint_that_moved_while_a_connection_came_up_gets_nothing_at_its_old_address() -> None:
+    async def test() -> None:
+        async with endpoint(never) as new, late() as (old, node, connections):
+            client = await node.client()
+            client.writer.write(request())
+            await connections.coming.wait()
+            moved = {"seq": 2, "whole": False, "hosts": [entry("s-0", new.dial)]}
+            node.host.learn(config.host_list(moved, node.config.names), api.ListKind.DELTA)
+            connections.let.set()
+            assert (await node.event(completed)).outcome == Outcome.CONNECT_FAILED
+            assert (await client.answer())[0] == 503 and old.seen == []
+            client.writer.write(request())
+            await new.arrived.wait()
+            assert old.seen == []
+
+    run(test())
