Upstream: a connection just given back rests, so that a second answer is not the next one's

Connection.buffer_updated drops such an answer only while nothing is under way, and Upstream.take gives out the connection that came back last. A request written within these milliseconds is answered by what was made for another: the rule on lost requests. Ruled out: telling the two apart by the answer, which carries no id; Connection.usable, which sees only what has come by then.

Change: a connection is not used again for 6 ms. If no other is idle, the attempt waits for that long, once; then it is judged again and, if need be, opens a new one, so the wait is at most REST.

--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -24,6 +24,10 @@
 # capacity; a new handshake costs as much work as holding one for two to six seconds.
 SURPLUS_IDLE = 4 * SECOND
 
+# An engine that misbehaves may answer twice, the second time some milliseconds late (1 to 4 ms as seen). An
+# answer names no request: on a connection that is used again by then, it would be taken for the next one's.
+REST = 6_000_000
+
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
 
@@ -330,7 +334,7 @@
     """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_pool", "_upload",
+        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_pool", "_rest", "_upload",
         "_upstream", "_wanted", "_written",
     )  # fmt: skip
 
@@ -349,12 +353,18 @@
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
+        self._rest: asyncio.TimerHandle | None = None  # while a connection that is to be used rests
         self._eager = False
 
     def start(self) -> None:
+        if (outcome := self._unwanted()) is not None:  # while it waited for a connection to rest
+            self._end(outcome, None)
+            return
         connection = self._upstream.take(self._pool)
         if connection is not None:
             self._write(connection)
+        elif self._pool.idle and self._rest is None:  # once, so REST at most
+            self._rest = self._upstream.loop.call_later(REST / SECOND, self.start)
         elif self._upstream.room():
             self._connect = self._upstream.loop.create_task(self._open())
         else:
@@ -373,6 +383,8 @@
 
     def abandon(self, outcome: int) -> None:
         """Stop waiting: the connection closes before anything else happens for the request."""
+        if self._rest is not None:
+            self._rest.cancel()
         if self._connect is not None:
             self._connect.cancel()
         if self._connection is not None:
@@ -393,14 +405,22 @@
         else:
             self._write(connection)
 
+    def _unwanted(self) -> Outcome | None:
+        """How it ends, where it should not go out any more."""
+        if not self._wanted():
+            return Outcome.MOOT
+        return None if self._pool.health == Health.READY else Outcome.CONNECT_FAILED
+
     def _write(self, connection: Connection) -> None:
         """The one place where the first byte of a request goes out. It was decided a while ago, so all that
         may have changed meanwhile is judged again: the endpoint may drain, be gone or have moved, the client
         may have left, the time be over."""
-        wanted = self._wanted()
-        if not wanted or not self._pool.takes(connection):
+        outcome = self._unwanted()
+        if outcome is None and not self._pool.takes(connection):
+            outcome = Outcome.CONNECT_FAILED
+        if outcome is not None:
             self._upstream.give(self._pool, connection)
-            self._end(Outcome.CONNECT_FAILED if wanted else Outcome.MOOT, None)
+            self._end(outcome, None)
             return
         self._connection = connection
         free = partial(self._upstream.give, self._pool, connection)
@@ -559,14 +579,20 @@
         return True
 
     def take(self, pool: Pool) -> Connection | None:
-        """The most recently used idle connection that is still good; the others grow old and close."""
-        oldest = self._now() - self._idle_most
-        while pool.idle:
+        """The most recently used idle connection that is still good and has rested; the others grow old and
+        close. If there is none, those left are resting."""
+        now, found = self._now(), None
+        resting: list[Connection] = []
+        while pool.idle and found is None:
             connection = pool.idle.pop()
-            if connection.idle_since > oldest and connection.usable():
-                return connection
-            connection.close()
-        return None
+            if connection.idle_since <= now - self._idle_most or not connection.usable():
+                connection.close()
+            elif connection.idle_since > now - REST:
+                resting.append(connection)
+            else:
+                found = connection
+        pool.idle += reversed(resting)
+        return found
 
     def give(self, pool: Pool, connection: Connection) -> None:
         if pool.takes(connection) and connection.usable():
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,50 @@
+"""Rare orders of events at the sockets, each made to happen: what comes between two steps of the program."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from sprucenotch.node import upstream
+from tests.sidecar import ok, request, run, sidecar
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It comes once the next request has been decided on, and that one is sent to the same endpoint."""
+    monkeypatch.setattr(upstream, "REST", 200_000_000, raising=False)
+
+    async def test() -> None:
+        decided = asyncio.Event()
+
+        async def answers_twice(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ok(b"first"))
+            await decided.wait()
+            writer.write(ok(b"first, again"))
+            if await reader.read():
+                writer.write(ok(b"second"))
+
+        async def answers(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if opened:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(ok(b"second"))
+            else:
+                opened.append(True)
+                await answers_twice(reader, writer)
+
+        opened: list[bool] = []
+        server = await asyncio.start_server(answers, "127.0.0.1", 0)
+        async with sidecar(f"127.0.0.1:{server.sockets[0].getsockname()[1]}") as node:
+            client = await node.client()
+            assert await client.ask(request()) == (200, {b"content-length": b"5"}, b"first")
+            client.writer.write(request())
+            while not any(one.attempt for one in node.host._open.values()):
+                await asyncio.sleep(0)
+            decided.set()
+            assert (await client.answer())[2] == b"second"
+        server.close()
+
+    run(test())
