Settings: a request whose head came before they changed is checked again when it is whole

Read for races: ClientConnection kept what the head said under the old settings (effect's method, place of the tenant, name of the class) and Host.request looked the class up by name in the new ones (on_message_complete, on_body). A POST without a key, as its class may not run twice, became one that may if the class was safe by its last byte; a tenant could be another's. Only a class that had vanished was looked for (HeadRules.knows).

Knows is gone. Long bodies begin at their head and keep what they came with, as before. The test fails without it: 200 for 405, sent on.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -96,6 +96,7 @@
         self._reading = self._headed = False
         self._exchange: Exchange | None = None  # of the request that is being read, from its head on
         self._incoming: Incoming | None = None
+        self._rules = self.frontend.rules  # by which its head was checked
         self._room = 0  # memory reserved for it here
         self._continue = False  # the client waits to be told to send the body
 
@@ -397,8 +398,9 @@
         an answer the connection ends.
         """
         method = self._parser.get_method()
+        self._rules = self.frontend.rules
         try:
-            self._incoming = self.frontend.rules.check(method, self._url, self._lines, told)
+            self._incoming = self._rules.check(method, self._url, self._lines, told)
         except BadRequest as error:
             self._turn_away(exchange, error)
             return
@@ -412,6 +414,13 @@
         if long:
             self._start_upload(exchange, self._incoming, length)
 
+    def _by_rules(self, incoming: Incoming) -> Incoming:
+        """The request by the settings in force, with which it begins here: its class and tenant may have
+        others now than when its head came, or be gone."""
+        if self._rules is self.frontend.rules:
+            return incoming
+        return self.frontend.rules.check(self._parser.get_method(), self._url, self._lines, self._told)
+
     def _give_room_back(self) -> None:
         self.frontend.host.budget.give(self._room)
         self._room = 0
@@ -449,8 +458,10 @@
             return
         self._body += body
         if exchange.upload is None and self._size > WHOLE_MOST and self._incoming is not None:
-            if not self.frontend.rules.knows(self._incoming.cls):
-                self._fault(400, "Req-Kind is no longer known")
+            try:
+                self._incoming = self._by_rules(self._incoming)
+            except BadRequest as error:
+                self._fault(error.status, error.why)
             self._start_upload(exchange, self._incoming, None)
 
     def _grow_head(self, size: int, status: int) -> None:
@@ -474,10 +485,13 @@
             self.frontend.host.uploaded(exchange.id)
             self._pass_on(exchange)
             exchange.upload.finish(True)
-        elif incoming is not None and not self.frontend.rules.knows(incoming.cls):
-            self._give_room_back()
-            self._turn_away(exchange, BadRequest(400, "Req-Kind is no longer known"))
         elif incoming is not None:
+            try:
+                incoming = self._by_rules(incoming)
+            except BadRequest as error:
+                self._give_room_back()
+                self._turn_away(exchange, error)
+                return
             body, room = bytes(self._body), self._room
             self._room = 0
             if body or self._parser.get_method() == b"POST":
--- a/sprucenotch/node/head.py
+++ b/sprucenotch/node/head.py
@@ -55,9 +55,6 @@
         self._classes = {c.name.encode(): c for c in settings.classes}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
-    def knows(self, cls: str) -> bool:
-        return cls.encode() in self._classes
-
     def check(self, method: bytes, url: bytes, lines: list[bytes], told: dict[bytes, bytes]) -> Incoming:
         """What the head of a request says, or BadRequest. The lines are the headers that go on."""
         cls = self._classes.get(told.get(b"req-kind", b""))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,8 @@
 import pytest
 
 from sprucenotch.node import upstream
-from tests.sidecar import ok, request, run, sidecar
+from tests.sidecar import always_ok, endpoint, ok, request, run, sidecar
+from tests.test_retuning import swap
 
 
 def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request(
@@ -48,3 +49,20 @@
         server.close()
 
     run(test())
+
+
+def test_settings_taken_up_while_a_body_comes_do_not_leave_its_request_with_a_laxer_effect() -> None:
+    """It came as one that may not run twice; by its end its class may, and has another method."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            whole = request("post", body=b"body")
+            client.writer.write(whole[:-2])
+            while not any(c._headed for c in node.frontend._connections):
+                await asyncio.sleep(0)
+            swap(node, served.dial)
+            assert (await client.ask(whole[-2:]))[0] == 405 and served.seen == []
+            assert node.host.budget.used == 0
+
+    run(test())
