Drain: what comes late on an open connection is answered before the process is killed

Read for races: SIGKILL comes no sooner than the longest deadline (3 s at most) and 0.7 s after SIGTERM, and what it finds unanswered is lost if it came more than 0.7 s after the signal. Frontend.close_idle leaves a connection that has not been used yet, up to 2.5 s; a request on it to an engine that hangs had its whole deadline (Host.request), so it could be owed an answer after the end. Ruled out: idle connections (closed after 0.6 s), pipelined ones (the last answer closes).

Change: once told to stop, no request's time goes beyond SIGTERM + min(longest, 3 s) + 0.7 s - 0.1 s, at the one place where it is set; what came within 0.6 s has all its own time. The engine is told the shorter one. The test fails without.

--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -32,6 +32,10 @@
 # A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
 # has told binds it from then on. Much later, and a replacement would not come in time.
 TOLD_WITHIN = 3 * SECOND
+# After SIGTERM the process is killed no sooner than the longest deadline, taken for 3 s where it is longer,
+# and 0.7 s. What comes later than 0.7 s after the signal, on a connection still open, may have less than its
+# own time: it is answered so long before the end, for the way to the client and a late loop.
+DRAIN_LONGEST, DRAIN_BEYOND, DRAIN_MARGIN = 3 * SECOND, 700 * MS, 100 * MS
 HELD_SHARE = 0.5  # of an attempt's time: later, an answer of unknown length is not held to be tried again
 
 
@@ -66,6 +70,7 @@
         self.told = False  # whether discovery has, since the start
         self.handed = False  # whether the process before has handed over a list that is fresh
         self._patient_until = self.now() + TOLD_WITHIN
+        self._killed_at: int | None = None  # once told to stop: all is answered by then
 
     # ---- events
 
@@ -94,6 +99,16 @@
         self._access = AccessLog(config.log.access_per_s)
         self.post(api.Retuned(config.settings))
 
+    def drain(self) -> None:
+        """The process was told to stop, and will be killed."""
+        longest = max(cls.limit for cls in self._settings.classes)
+        self._killed_at = self.now() + min(longest, DRAIN_LONGEST) + DRAIN_BEYOND - DRAIN_MARGIN
+
+    def _expiry(self, now: int, deadline: int) -> int:
+        """When a request that is whole now has to be answered."""
+        expires = now + max(0, deadline - DEADLINE_MARGIN)
+        return expires if self._killed_at is None else min(expires, self._killed_at)
+
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
         self.told = self.told or kind != api.ListKind.CACHED
@@ -155,7 +170,7 @@
         self.count("requests")
         self._last_id += 1
         rid, now = self._last_id, self.now()
-        expires = now + max(0, incoming.deadline - DEADLINE_MARGIN)
+        expires = self._expiry(now, incoming.deadline)
         request = self._open[rid] = Open(
             rid, client, incoming, expires, self._settings.max_attempts, room, upload
         )
@@ -188,7 +203,7 @@
         if request is None or request.answered:
             return
         now, request.coming = self.now(), False
-        request.sent, request.expires = now, now + max(0, request.incoming.deadline - DEADLINE_MARGIN)
+        request.sent, request.expires = now, self._expiry(now, request.incoming.deadline)
         request.until = request.expires
         self._take(request)
         if request.attempt is not None:
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -81,6 +81,7 @@
     await told_to_stop.wait()
     # Answers close their connections from here on, so that clients leave as they are served.
     frontend.draining = True
+    host.drain()
     steer_to_successor(listener)
     event(log, logging.INFO, "draining", in_progress=host.telemetry.in_progress)
     await asyncio.sleep(ACCEPT_ON)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sprucenotch.node import upstream
-from tests.sidecar import always_ok, endpoint, ok, request, run, sidecar
+from tests.sidecar import always_ok, endpoint, never, ok, request, run, sidecar
 from tests.test_retuning import swap
 
 
@@ -51,6 +51,24 @@
     run(test())
 
 
+def test_what_comes_late_after_a_stop_is_answered_before_the_process_is_killed() -> None:
+    """A client goes on sending on a connection that stayed open, and the engine hangs beyond that time."""
+
+    async def test() -> None:
+        async with endpoint(never) as hangs, sidecar(hangs.dial) as node:
+            client = await node.client()
+            node.frontend.draining = True
+            node.host.drain()
+            client.writer.write(request(deadline="9"))
+            await hangs.arrived.wait()
+            assert float(hangs.seen[0].headers[b"req-deadline"]) <= 3.0 + 0.7 - 0.1
+            [one] = node.host._open.values()
+            assert one.deadline is not None
+            assert one.deadline.when() <= node.host._loop.time() + 3.0 + 0.7 - 0.1
+
+    run(test())
+
+
 def test_settings_taken_up_while_a_body_comes_do_not_leave_its_request_with_a_laxer_effect() -> None:
     """It came as one that may not run twice; by its end its class may, and has another method."""
 
