Host: a crash in one action does not keep the others of its event from being done

Read for races: Host.post carried out all actions of an event in a row without a guard, so one that raised took the others with it, among them the timer by which the decisions go on, and the client's connection, as the exception went up through its callback (uvloop closes it): its request was never answered.

Change: each action is carried out for itself and its fault logged; the request gets its answer at its deadline, from the timer that is set before any decision. The test plants a fault in Attempt.start and fails without the change.

--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -153,7 +153,11 @@
             log.exception("fault", extra={"fields": {"handling": type(event).__name__}})
             return
         for action in actions:
-            self._actions[type(action)](action)
+            try:
+                self._actions[type(action)](action)
+            except Exception:
+                # The others are carried out all the same: among them may be the timer of the decisions.
+                log.exception("fault", extra={"fields": {"doing": type(action).__name__}})
 
     def count(self, name: str) -> None:
         """Count what the fleet pays for together, such as a handshake or a call to discovery."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sprucenotch.node import upstream
+from sprucenotch.node.upstream import Attempt
 from tests.sidecar import always_ok, endpoint, never, ok, request, run, sidecar
 from tests.test_retuning import swap
 
@@ -84,3 +85,18 @@
             assert node.host.budget.used == 0
 
     run(test())
+
+
+def test_a_crash_in_one_action_leaves_neither_its_request_nor_any_other_unanswered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            client, other = await node.client(), await node.client()
+            with monkeypatch.context() as planted:
+                planted.setattr(Attempt, "start", lambda self: 1 / 0)
+                assert (await client.ask(request("post", deadline="0.1")))[0] in (502, 504)
+            assert (await other.ask(request()))[0] == 200
+            assert (await client.ask(request()))[0] == 200
+
+    run(test())
