--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -33,3 +35,27 @@
         "sprucenotch.api",
     }  # fmt: skip
     assert {name for name in imported if not name.startswith("sprucenotch.policy.")} <= allowed
+
+
+# Prints the project's files that are loaded once a sidecar could start.
+LOADED = """
+import sys
+import sprucenotch.__main__, sprucenotch.node.serve
+for name, module in sys.modules.items():
+    if name.partition(".")[0] == "sprucenotch":
+        print(module.__file__)
+"""
+
+
+def test_the_deployment_names_all_that_a_sidecar_loads_and_nothing_else() -> None:
+    told = subprocess.run(
+        (sys.executable, "-c", LOADED), cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    loaded = {Path(line).relative_to(ROOT) for line in told.stdout.splitlines()}
+    named = [Path(path) for path in (*DEPLOY["policy"], *DEPLOY["node"])]
+    assert all(any(file.is_relative_to(path) for path in named) for file in loaded)
+    assert all(any(file.is_relative_to(path) for file in loaded) for path in named)
+
+
+def test_a_sidecar_is_one_process_by_exec() -> None:
+    assert DEPLOY["run"].startswith("exec ")
