--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,143 @@
+"""Customers other than the first, by settings alone: nothing is decided, nor read from a head, by a name."""
+
+from __future__ import annotations
+
+import json
+import random
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sprucenotch import api
+from sprucenotch.node import config
+from sprucenotch.node.head import METHODS, HeadRules
+from sprucenotch.policy.balance import Balancer
+from tests.sidecar import entry
+
+MS, SECOND = 1_000_000, 1_000_000_000
+SITES = sorted((Path(__file__).parent.parent / "deploy" / "sites").glob("*/*.toml"))
+EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+Rename = Callable[[str], str]
+
+
+def least(value: Any) -> Any:
+    """A site gives ranges; a configuration is one draw from them."""
+    return value[0] if isinstance(value, list) else value
+
+
+def told(site: dict[str, Any], name: Rename) -> dict[str, Any]:
+    """A configuration as the platform writes it for a sidecar of this site, its names changed by `name`."""
+    allow, conn, rules = site["allow"], site["tier"][0]["conn"], site["rules"]
+    zones = [name(zone) for zone in site["net"]["zones"]]
+    settings = {
+        "Azs": zones,
+        "Kinds": [name(kind["name"]) for kind in site["tier"][0]["kind"]],
+        "Categories": [
+            {"Name": name(c["name"]), "AimNs": c["aim_ms"] * MS, "HardLimitNs": c["deadline_ms"] * MS,
+             "Importance": c["worth"], "LateWorth": c["late_worth"], "Effect": EFFECTS[c["effect"]],
+             "KeyScope": c.get("group", "all"), "WindowNs": c.get("window_ms", 5000) * MS}
+            for c in site["class"]
+        ],
+        "Orgs": [{"Name": name(t["name"]), "Portion": t["share"], "QuotaPerS": 100 * t["share"]}
+                 for t in site.get("tenant", ())],
+        "Limits": {"Cancel": allow["cancel"], "Probes": allow["probes"], "Peers": allow["peers"],
+                   "RetryAfter": allow["retry_after"], "ParallelTries": allow["second_copies"],
+                   "MaxAttempts": allow["max_attempts"], "ConnIdleNs": conn["idle_s"] * SECOND,
+                   "MaxRetryAfterNs": site["clients"]["max_retry_after_ms"] * MS,
+                   "ConnectTimeoutNs": conn["connect_timeout_ms"] * MS},
+        "Rules": {"DrainGraceNs": rules["drain_grace_ms"] * MS, "ColdFrom": 0.2, "ColdNs": 20 * SECOND,
+                  "FallMultiple": rules["fall_multiple"], "FallNs": rules["fall_ms"] * MS},
+        "Deductions": {"CrossZone": site["prices"]["cross_zone"], "Waste": site["prices"]["waste"],
+                       "Probe": site["prices"]["probe"]},
+        "Discovery": "on_request", "NInstances": 4, "Position": 1, "Zone": 1,
+        "OverShareWorth": site["load"].get("over_share_worth", 1),
+    }  # fmt: skip
+    hosts = [entry(f"e-{i}", f"127.0.0.1:{9000 + i}") | {"site": zones[i % len(zones)]} for i in range(9)]
+    return {"name": name("n1"), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "2b",
+            "limits": {"sockets": 512, "memory_mb": 80}, "settings": settings,
+            "known": {"seq": 1, "whole": True, "hosts": hosts}}  # fmt: skip
+
+
+def configured(path: Path, name: Rename) -> config.Config:
+    return config.parse(json.loads(json.dumps(told(tomllib.loads(path.read_text()), name))))
+
+
+def played(of: config.Config, seed: int) -> list[api.Action]:
+    """All actions over twenty seconds of a load that draws every kind of outcome."""
+    rng, balancer, now = random.Random(seed), Balancer(of.settings, of.seed), 50 * SECOND
+    due: list[tuple[int, int, api.Event]] = []
+    actions: list[api.Action] = []
+    number = 0
+
+    def give(event: api.Event) -> None:
+        nonlocal number
+        for action in balancer.handle(now, event):
+            actions.append(action)
+            number += 1
+            took = int(rng.expovariate(1 / 60) * MS)
+            match action:
+                case api.Send():
+                    outcome = rng.choices(list(api.Outcome)[:6], (80, 3, 5, 5, 4, 3))[0]
+                    over = outcome == api.Outcome.OK
+                    done = api.Completed(action.id, 0, action.endpoint, outcome, took, over, ())
+                    due.append((now + took, number, done))
+                case api.Probe():
+                    due.append((now + took, number, api.Probed(action.endpoint, api.Outcome.OK, took, ())))
+                case api.SetTimer():
+                    due.append((now + action.delay, number, api.Timer(action.token)))
+
+    give(api.Attached())
+    give(api.EndpointList(api.ListKind.CACHED, tuple(host.endpoint for host in of.known.hosts)))
+    for rid in range(1, 1500):
+        now += int(rng.expovariate(75) * SECOND)
+        for at, order, event in sorted(due, key=lambda one: one[:2]):
+            if at <= now:
+                due.remove((at, order, event))
+                give(event)
+        cls = rng.randrange(len(of.settings.classes))
+        tenant = rng.randrange(max(1, len(of.settings.tenants)))
+        left = of.settings.classes[cls].limit
+        give(api.Request(rid, cls, tenant, rng.getrandbits(60), now + left, 0, rng.random() < 0.1))
+        if rng.random() < 0.05:
+            give(api.Gone(rng.randint(1, rid)))
+    return actions
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_names_change_no_decision(path: Path) -> None:
+    as_told, renamed = configured(path, str), configured(path, lambda name: f"zz-{name[::-1]}")
+    assert {c.name for c in as_told.settings.classes}.isdisjoint(c.name for c in renamed.settings.classes)
+    for seed in range(3):
+        one = played(as_told, seed)
+        assert one == played(renamed, seed)
+        kinds = {type(action) for action in one}
+        assert {api.Send, api.Refuse} <= kinds  # the stream reaches both ends of the path
+        assert api.Probe not in kinds or as_told.settings.probes
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_names_change_no_head(path: Path) -> None:
+    """The head that goes on is the client's own, whatever it is called; method and key follow the effect."""
+    for name in (str, lambda text: f"zz-{text}-é"):
+        settings = configured(path, name).settings
+        for cls in settings.classes:
+            method, keyed = METHODS[cls.effect]
+            tenant = settings.tenants[-1].name.encode() if settings.tenants else b"anyone"
+            headers = {b"req-kind": cls.name.encode(), b"req-id": b"7", b"req-deadline": b"0.5",
+                       b"req-owner": tenant} | ({b"idempotency-key": b"k"} if keyed else {})  # fmt: skip
+            lines = [b"%s: %s" % header for header in headers.items() if header[0] != b"req-deadline"]
+            incoming = HeadRules(settings).check(method, b"/api?k=1", lines, headers)
+            assert incoming.head == b"\r\n".join((method + b" /api?k=1 HTTP/1.1", *lines, b""))
+            assert incoming.cls == cls.name
+            assert incoming.tenant == max(0, len(settings.tenants) - 1)
+
+
+def test_the_customers_differ_in_what_the_program_could_have_taken_for_granted() -> None:
+    one, other = (configured(path, str).settings for path in SITES)
+    assert one.zones != other.zones and bool(one.tenants) != bool(other.tenants)
+    assert one.probes != other.probes and bool(one.retry_after_max) != bool(other.retry_after_max)
+    assert any(c.effect == api.Effect.UNSAFE for c in (*one.classes, *other.classes))
+    assert one.max_attempts != other.max_attempts and one.cross_price != other.cross_price
