Repeats: within their group and window at the moment they go out, and by what the list said then

Read for races: a repeat of a keyed request was judged when it was decided (Balancer.worth_resending, Engines.idle) and could go out up to the time-out for connections later, past the window in which it is dropped: by the settings of another customer (a window of the size of its deadline), it runs twice. And the group was that which the list names now for the engine that may have run it: a list that moved that engine meanwhile let the repeat go where nobody knows of the first.

Change: Send tells until when it may go out, and Attempt asks for it where the first byte does; a place that changed meanwhile ends the attempt unsent. A repeat has to be in one group with that engine by the list of now and of then. Both tests fail without. Decisions without such a list are the same ones.

--- a/sprucenotch/api.py
+++ b/sprucenotch/api.py
@@ -241,6 +241,7 @@
     id: int
     endpoint: EndpointId
     timeout: int  # 0: until the client gives up
+    before: int = 0  # it may go out until then, as a repeat does harm later; 0: at any time
 
 
 class Refuse(NamedTuple):
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -298,7 +298,7 @@
             self._moot(action, request)
             return
         spent = request.upload is not None and request.upload.started  # what was handed on is held no more
-        if spent or not self._wanted(request) or request.attempts >= request.tries:
+        if spent or not self._wanted(request, action.before) or request.attempts >= request.tries:
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
@@ -311,7 +311,7 @@
             partial(request.payload, self.now),
             done,
             self._written,
-            partial(self._wanted, request),
+            partial(self._wanted, request, action.before),
             request.upload,
         )
         if attempt is None:
@@ -322,9 +322,13 @@
             self._wait(request, attempt)
         attempt.start()
 
-    def _wanted(self, request: Open) -> bool:
-        """Whether it may still go out: somebody waits for its answer, and there is time for one."""
-        return not request.answered and (request.coming or self.now() < request.expires)
+    def _wanted(self, request: Open, before: int) -> bool:
+        """Whether it may still go out: somebody waits for its answer, there is time for one, and a repeat is
+        still harmless."""
+        if request.answered:
+            return False
+        now = self.now()
+        return (request.coming or now < request.expires) and not 0 < before <= now
 
     def _wait(self, request: Open, attempt: Attempt) -> None:
         """Wait for this attempt no longer than was decided; half of that for the whole of a short answer."""
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -319,11 +319,15 @@
 class Pool:
     """What is held to one endpoint."""
 
-    __slots__ = ("dial", "health", "idle", "name")
+    __slots__ = ("dial", "health", "idle", "name", "place")
 
     def __init__(self, host: Host) -> None:
-        self.name, self.dial, self.health = host.name, host.dial, host.endpoint.health
         self.idle: list[Connection] = []
+        self.update(host)
+
+    def update(self, host: Host) -> None:
+        self.name, self.dial, self.health = host.name, host.dial, host.endpoint.health
+        self.place = host.endpoint.zone, host.endpoint.cell
 
     def takes(self, connection: Connection) -> bool:
         """Whether something new may go out there: the endpoint wants it, and has not moved meanwhile."""
@@ -334,8 +338,8 @@
     """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_pool", "_rest", "_upload",
-        "_upstream", "_wanted", "_written",
+        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_place", "_pool", "_rest",
+        "_upload", "_upstream", "_wanted", "_written",
     )  # fmt: skip
 
     def __init__(
@@ -349,6 +353,7 @@
         upload: Stream | None,
     ) -> None:
         self._upstream, self._pool, self._payload = upstream, pool, payload
+        self._place = pool.place  # for which it was decided
         self._written, self._wanted, self._upload = written, wanted, upload
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
@@ -409,12 +414,13 @@
         """How it ends, where it should not go out any more."""
         if not self._wanted():
             return Outcome.MOOT
-        return None if self._pool.health == Health.READY else Outcome.CONNECT_FAILED
+        stays = self._pool.health == Health.READY and self._pool.place == self._place
+        return None if stays else Outcome.CONNECT_FAILED
 
     def _write(self, connection: Connection) -> None:
         """The one place where the first byte of a request goes out. It was decided a while ago, so all that
-        may have changed meanwhile is judged again: the endpoint may drain, be gone or have moved, the client
-        may have left, the time be over."""
+        may have changed meanwhile is judged again: the endpoint may drain, be gone, have moved or drop the
+        repeats of others, the client may have left, the time be over."""
         outcome = self._unwanted()
         if outcome is None and not self._pool.takes(connection):
             outcome = Outcome.CONNECT_FAILED
@@ -488,7 +494,7 @@
                 continue
             if pool.dial != host.dial:
                 self._drop_idle(pool)
-            pool.dial, pool.health = host.dial, host.endpoint.health
+            pool.update(host)
             if pool.health != Health.READY:
                 self._drop_idle(pool)
         if whole:
--- a/sprucenotch/policy/balance.py
+++ b/sprucenotch/policy/balance.py
@@ -16,7 +16,7 @@
 from sprucenotch.policy.admission import Admission
 from sprucenotch.policy.engines import SUBSET_SHRINK, Engines
 from sprucenotch.policy.learned import export, take_up, within
-from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending
+from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending, Place
 
 CYCLE_COUNT = 2000  # or this many sends, as in the write-up
 CYCLE_MOST = 3.0  # mean aims that a cycle short of evidence waits for more
@@ -410,13 +410,15 @@
             self.finish(request, now)
 
     def launch(self, request: Pending, member: Member, now: int) -> None:
-        request.member, request.sent = member, now
+        request.member, request.place, request.sent = member, Place(member.zone, member.cell), now
         request.attempts += 1
         member.inflight += 1
         self.flying += 1
         self.sends += 1
         self.evidence[member.zone][SENT] += 1
-        self.out.append(api.Send(request.id, member.id, self.patience(request, now)))
+        repeat = request.ran is not None and request.cls.effect == Effect.KEYED
+        before = request.ran_at + request.cls.window if repeat else 0
+        self.out.append(api.Send(request.id, member.id, self.patience(request, now), before))
         if self.sends % CYCLE_COUNT == 0:
             self.cycle(now)
 
@@ -441,7 +443,7 @@
             self.pending.pop(event.id, None)
             return
         if request.ran is None and event.outcome not in api.NEVER_RAN:
-            request.ran, request.ran_at = request.member, request.sent
+            request.ran, request.ran_then, request.ran_at = request.member, request.place, request.sent
         if event.outcome != Outcome.MOOT and self.worth_resending(request, event.outcome, now):
             self.budget -= 1
             self.send(request, now)
--- a/sprucenotch/policy/state.py
+++ b/sprucenotch/policy/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from msgspec import Struct
+
 from sprucenotch import api
 from sprucenotch.api import Scope
 
@@ -48,6 +50,13 @@
         self.try_left = 0  # the longest that a first try has been given
 
 
+class Place(Struct, frozen=True):
+    """Where an endpoint was as a request was sent to it: the list may say another zone or cell later."""
+
+    zone: int
+    cell: int
+
+
 class Pending:
     """A request that is owed its final answer."""
 
@@ -57,7 +66,9 @@
         self.key, self.coming = event.key, event.coming
         self.attempts = self.sent = self.ran_at = self.steps = self.open = 0
         self.member: Member | None = None  # where its last attempt went
+        self.place = Place(0, 0)  # of that one, then
         self.ran: Member | None = None  # where it first may have run
+        self.ran_then = self.place
         self.counted = 0.0  # how much of its wait is in the evidence already
         self.asked: list[Member] = []  # members asked by a probe whether they are idle
         self.best: Member | None = None  # the quickest of those that answered
@@ -69,7 +80,7 @@
     return not member.inflight and member.out_until <= now
 
 
-def same(one: Member, other: Member, scope: int) -> bool:
+def same(one: Member, other: Member | Place, scope: int) -> bool:
     """Whether two endpoints drop each other's repeats of a keyed request."""
     near = one.zone == other.zone and (scope == Scope.ZONE or one.cell == other.cell)
     return scope == Scope.ALL or near
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from sprucenotch.api import Outcome
 from sprucenotch.node import upstream
 from sprucenotch.node.upstream import Attempt
-from tests.sidecar import always_ok, endpoint, never, ok, request, run, sidecar
+from tests.sidecar import SETTINGS, Seen, always_ok, endpoint, never, ok, request, run, sidecar
+from tests.test_leaving import LateConnections, completed
 from tests.test_retuning import swap
 
 
@@ -100,3 +102,43 @@
             assert (await client.ask(request()))[0] == 200
 
     run(test())
+
+
+KEYED = SETTINGS | {
+    "Categories": [
+        SETTINGS["Categories"][0]
+        | {"Name": "post", "Effect": "dedup", "KeyScope": "cell", "WindowNs": 3_000_000_000}
+    ],
+    "Limits": SETTINGS["Limits"] | {"MaxAttempts": 2},
+}
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_repeat_goes_out_within_the_window_in_which_it_is_dropped_or_not_at_all(late: bool) -> None:
+    """It was decided within it, and its connection comes up later."""
+
+    async def test() -> None:
+        async def breaks(seen: Seen) -> None:
+            connections.let.clear()  # that of the next attempt comes up once it is let
+            return None
+
+        async with (
+            endpoint(breaks) as one,
+            endpoint(breaks) as other,
+            sidecar(one.dial, other.dial, settings=KEYED) as node,
+        ):
+            connections = LateConnections(node)
+            connections.let.set()
+            client = await node.client()
+            client.writer.write(request("post", extra=b"Idempotency-Key: k\r\n"))
+            await node.event(completed)
+            [asked] = node.host._open.values()
+            assert asked.attempts == 2 and len(one.seen) + len(other.seen) == 1
+            if late:
+                past = node.host.now() + 4_000_000_000
+                node.host.now = lambda: past
+            connections.let.set()
+            assert (await client.answer())[0] == 502
+            assert len(one.seen) + len(other.seen) == 2 - late
+
+    run(test())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -295,3 +295,18 @@
         steps: list[Any] = [("ask", i % 2, 2000) if i % 3 else ("answer", 0, outcome) for i in range(200)]
         world = play(config, [*steps, ("pass", 5000, 0)])
         assert not world.owed and world.answered > 50
+
+
+def test_a_repeat_stays_where_the_engine_that_may_have_run_it_was_when_it_was_sent() -> None:
+    """The list moves that engine to another cell meanwhile: either may be the one that drops repeats."""
+    cls = request_class(effect=api.Effect.KEYED, scope=api.Scope.CELL)
+    for cells, sent_again in (((1, 1), True), ((2, 1), False), ((2, 2), False)):
+        bench = Bench(settings(cls), servers=0)
+        bench.list_of(endpoint(1, cell=1))
+        send = bench.sent()
+        listed = [endpoint(1, cell=cells[0]), endpoint(2, cell=cells[1])]
+        bench.list_of(*listed, kind=api.ListKind.FULL)
+        [action] = bench.answer(send, api.Outcome.RESET)
+        assert isinstance(action, api.Send if sent_again else api.Fail)
+        if isinstance(action, api.Send):
+            assert action.before == bench.now + cls.window
