Host: at its deadline a request's time is over for the decisions too, however early the timer

Read for races: loop timers count in milliseconds, so Host._at_deadline may come up to half a one before the deadline in nanoseconds. Balancer.worth_resending then found time left and, before any latency is known, sent once more; the request was answered as failed by the next line, "left unanswered" was logged, and the new attempt had no timer left: a hung engine kept it, and its ledger entry and memory, for good.

Change: the ledger's time ends with the timer, so what is decided then is moot. The test calls the deadline a moment early and fails without it: two engines asked, 504 for 503.

--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -260,6 +260,8 @@
 
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
+        # Timers count in milliseconds, so this may be early by one: for the decisions too, time is over now.
+        request.expires = min(request.expires, self.now())
         if request.attempt is not None:
             request.attempt.abandon(Outcome.TIMEOUT)
         if not request.answered:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -104,6 +104,25 @@
     run(test())
 
 
+def test_a_deadline_that_comes_a_moment_early_sends_nothing_more() -> None:
+    """Timers count in milliseconds, the decisions in nanoseconds: a moment is left, another engine idle."""
+
+    async def test() -> None:
+        async with endpoint(never) as one, endpoint(never) as other, sidecar(one.dial, other.dial) as node:
+            client = await node.client()
+            client.writer.write(request())
+            while not one.seen and not other.seen:
+                await asyncio.sleep(0)
+            [asked] = node.host._open.values()
+            assert asked.deadline is not None
+            asked.deadline.cancel()
+            node.host._at_deadline(asked)
+            assert (await client.answer())[0] == 503  # safe to repeat
+            assert not node.host._open and len(one.seen) + len(other.seen) == 1
+
+    run(test())
+
+
 KEYED = SETTINGS | {
     "Categories": [
         SETTINGS["Categories"][0]
