Upstream: an attempt given up before its last byte went out never ran, and says so

Read for races: Attempt.abandon gave any attempt the outcome that its caller named. One whose connection had not come up at its time-out, or whose body was out in part, counted as timed out, which may have run: a request that may not be repeated was answered as failed (priced as refused, and the client may not come again), a keyed one was bound to a group that had never seen it.

The test fails without it: 504 for 503. The latency evidence loses only waits at connections, which are no queues.

--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -381,13 +381,20 @@
         if self._connection is not None:
             self._connection.eager = True
 
+    @property
+    def _whole(self) -> bool:
+        return self._connection is not None and self._connection.whole
+
     @property
     def partial(self) -> bool:
         """Whether the request has gone out in part: ended here, it never runs."""
-        return self._connection is not None and not self._connection.whole
+        return self._connection is not None and not self._whole
 
     def abandon(self, outcome: int) -> None:
-        """Stop waiting: the connection closes before anything else happens for the request."""
+        """Stop waiting: the connection closes before anything else happens for the request. One whose last
+        byte has not gone out by then never ran, whatever it is called off for."""
+        if outcome == Outcome.TIMEOUT and not self._whole:
+            outcome = Outcome.CONNECT_FAILED
         if self._rest is not None:
             self._rest.cancel()
         if self._connect is not None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -97,7 +97,7 @@
             client, other = await node.client(), await node.client()
             with monkeypatch.context() as planted:
                 planted.setattr(Attempt, "start", lambda self: 1 / 0)
-                assert (await client.ask(request("post", deadline="0.1")))[0] in (502, 504)
+                assert (await client.ask(request("post", deadline="0.1")))[0] == 503  # it never ran
             assert (await other.ask(request()))[0] == 200
             assert (await client.ask(request()))[0] == 200
 
@@ -123,6 +123,21 @@
     run(test())
 
 
+def test_what_never_went_out_by_its_deadline_never_ran() -> None:
+    """Its connection has not come up: a request that may not run twice is refused, not failed."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            connections = LateConnections(node)
+            client = await node.client()
+            client.writer.write(request("post", deadline="0.1"))
+            assert (await client.answer())[0] == 503
+            connections.let.set()
+            assert (await node.event(completed)).outcome == Outcome.CONNECT_FAILED and served.seen == []
+
+    run(test())
+
+
 KEYED = SETTINGS | {
     "Categories": [
         SETTINGS["Categories"][0]
