Upstream: the check at the first byte and the rest after an answer cost less a request

Causes: a timer a request where engines answer in 2 ms, as the one idle connection is always resting; a generator for each member of the subset; a partial, two further calls and three clock readings for the check; polls of connections that rest.

Change: a connection rests for at most a tenth of what its answer took, and not at all under 1 ms; those that rest are not polled; the check is a method of the ledger's entry (Open.wanted), asked once; the place of a member is made when the list tells it.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -58,6 +58,7 @@
         self._stalled: asyncio.TimerHandle | None = None  # while the client does not read, or after the end
         self._looking: asyncio.TimerHandle | None = None  # while reading is paused
         self._patience = Patience()
+        self._rules = frontend.rules  # by which the last head was checked
         self._begin()
 
     @property
@@ -96,7 +97,6 @@
         self._reading = self._headed = False
         self._exchange: Exchange | None = None  # of the request that is being read, from its head on
         self._incoming: Incoming | None = None
-        self._rules = self.frontend.rules  # by which its head was checked
         self._room = 0  # memory reserved for it here
         self._continue = False  # the client waits to be told to send the body
 
@@ -414,11 +414,9 @@
         if long:
             self._start_upload(exchange, self._incoming, length)
 
-    def _by_rules(self, incoming: Incoming) -> Incoming:
-        """The request by the settings in force, with which it begins here: its class and tenant may have
-        others now than when its head came, or be gone."""
-        if self._rules is self.frontend.rules:
-            return incoming
+    def _by_rules_in_force(self) -> Incoming:
+        """The request by the settings with which it begins: its class and tenant may have others now than
+        when its head came, or be gone."""
         return self.frontend.rules.check(self._parser.get_method(), self._url, self._lines, self._told)
 
     def _give_room_back(self) -> None:
@@ -459,7 +457,7 @@
         self._body += body
         if exchange.upload is None and self._size > WHOLE_MOST and self._incoming is not None:
             try:
-                self._incoming = self._by_rules(self._incoming)
+                self._incoming = self._by_rules_in_force()
             except BadRequest as error:
                 self._fault(error.status, error.why)
             self._start_upload(exchange, self._incoming, None)
@@ -486,12 +484,13 @@
             self._pass_on(exchange)
             exchange.upload.finish(True)
         elif incoming is not None:
-            try:
-                incoming = self._by_rules(incoming)
-            except BadRequest as error:
-                self._give_room_back()
-                self._turn_away(exchange, error)
-                return
+            if self._rules is not self.frontend.rules:
+                try:
+                    incoming = self._by_rules_in_force()
+                except BadRequest as error:
+                    self._give_room_back()
+                    self._turn_away(exchange, error)
+                    return
             body, room = bytes(self._body), self._room
             self._room = 0
             if body or self._parser.get_method() == b"POST":
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -106,7 +106,7 @@
 
     def _expiry(self, now: int, deadline: int) -> int:
         """When a request that is whole now has to be answered."""
-        expires = now + max(0, deadline - DEADLINE_MARGIN)
+        expires = now + deadline - DEADLINE_MARGIN if deadline > DEADLINE_MARGIN else now
         return expires if self._killed_at is None else min(expires, self._killed_at)
 
     def learn(self, told: HostList, kind: int) -> None:
@@ -216,7 +216,7 @@
 
     def gone(self, rid: int) -> None:
         """The client left. An attempt whose request is out goes on: ending it would only cost a connection.
-        One that waits for its connection ends once that is up, for others to use (`_wanted`); one that is
+        One that waits for its connection ends once that is up, for others to use (`Open.wanted`); one that is
         out in part ends at once, so that it never runs."""
         if (request := self._conclude(rid)) is not None:
             self.ended(rid)
@@ -300,11 +300,13 @@
             self._moot(action, request)
             return
         spent = request.upload is not None and request.upload.started  # what was handed on is held no more
-        if spent or not self._wanted(request, action.before) or request.attempts >= request.tries:
+        late = not request.coming and now >= request.expires
+        if spent or late or request.attempts >= request.tries:
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
+        request.before = action.before
         if self.standing.is_cold(action.endpoint):
             self.count("cold_sends")
         done = partial(self._completed, request, number)
@@ -313,7 +315,7 @@
             partial(request.payload, self.now),
             done,
             self._written,
-            partial(self._wanted, request, action.before),
+            request,
             request.upload,
         )
         if attempt is None:
@@ -324,14 +326,6 @@
             self._wait(request, attempt)
         attempt.start()
 
-    def _wanted(self, request: Open, before: int) -> bool:
-        """Whether it may still go out: somebody waits for its answer, there is time for one, and a repeat is
-        still harmless."""
-        if request.answered:
-            return False
-        now = self.now()
-        return (request.coming or now < request.expires) and not 0 < before <= now
-
     def _wait(self, request: Open, attempt: Attempt) -> None:
         """Wait for this attempt no longer than was decided; half of that for the whole of a short answer."""
         if request.timeout and request.sent + request.timeout < request.expires:
--- a/sprucenotch/node/ledger.py
+++ b/sprucenotch/node/ledger.py
@@ -42,9 +42,9 @@
     """A request in the ledger: owed its final answer or the rest of it, or with an attempt still out."""
 
     __slots__ = (
-        "answered", "attempt", "attempts", "began", "client", "coming", "deadline", "ended", "endpoint",
-        "expires", "haste", "held", "id", "incoming", "last", "leaving", "patience", "room", "sent",
-        "taken", "tally", "timeout", "tries", "until", "upload",
+        "answered", "attempt", "attempts", "before", "began", "client", "coming", "deadline", "ended",
+        "endpoint", "expires", "haste", "held", "id", "incoming", "last", "leaving", "patience", "room",
+        "sent", "taken", "tally", "timeout", "tries", "until", "upload",
     )  # fmt: skip
 
     def __init__(
@@ -67,7 +67,7 @@
         self.answered = self.ended = False
         self.tally: Counter[str] | None = None  # what its final answer counts as
         self.leaving = 0  # memory that the answer on its way out holds
-        self.attempts = self.sent = self.until = self.timeout = 0
+        self.attempts = self.sent = self.until = self.timeout = self.before = 0
         self.attempt: Attempt | None = None
         self.endpoint: api.EndpointId = b""
         self.last = -1  # the outcome of the last attempt
@@ -75,6 +75,13 @@
         self.patience: asyncio.TimerHandle | None = None
         self.haste: asyncio.TimerHandle | None = None
 
+    def wanted(self, now: int) -> bool:
+        """Whether it may go out: somebody waits for its answer, there is time for one, and a repeat is still
+        harmless."""
+        if self.answered or (now >= self.expires and not self.coming):
+            return False
+        return not self.before or now < self.before
+
     def payload(self, now: Callable[[], int]) -> bytes:
         left = self.incoming.deadline if self.coming else max(0, self.until - now())
         return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.incoming.head, left / SECOND, self.incoming.body)
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable, Iterable
 from functools import partial
-from typing import NamedTuple, TypeAlias, cast
+from typing import NamedTuple, Protocol, TypeAlias, cast
 
 import httptools
 
@@ -26,7 +26,9 @@
 
 # An engine that misbehaves may answer twice, the second time some milliseconds late (1 to 4 ms as seen). An
 # answer names no request: on a connection that is used again by then, it would be taken for the next one's.
-REST = 6_000_000
+# So one that has just come back rests, for no more than a tenth of what its answer took, as a longer rest
+# would cost more than it saves: min(REST, REST_SHARE x took), and not at all if that is less than timers tell.
+REST, REST_SHARE, REST_LEAST = 6_000_000, 0.1, 1_000_000
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
@@ -66,7 +68,8 @@
         self._clogged = self._paused = False
         self.whole = False  # the last byte of the request has gone out
         self._stalled: asyncio.TimerHandle | None = None
-        self.idle_since = 0
+        self.idle_since = self.sent_at = 0
+        self.rests_until = 0.0
         self.dial: Address | None = None  # of the endpoint
         self.body_most = WHOLE_MOST
         self.streams = False  # a longer body is passed on as it comes; else it is an error
@@ -311,9 +314,20 @@
             self._keep = self._parser.should_keep_alive()
 
 
-def always() -> bool:
+class Purpose(Protocol):
+    """What an attempt is made for."""
+
+    def wanted(self, now: int) -> bool: ...
+
+
+class Always:
     """For an attempt that nothing but its endpoint can make unwanted."""
-    return True
+
+    def wanted(self, now: int) -> bool:
+        return True
+
+
+ALWAYS = Always()
 
 
 class Pool:
@@ -338,8 +352,8 @@
     """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_place", "_pool", "_rest",
-        "_upload", "_upstream", "_wanted", "_written",
+        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_place", "_pool", "_purpose",
+        "_rest", "_upload", "_upstream", "_written",
     )  # fmt: skip
 
     def __init__(
@@ -349,12 +363,12 @@
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
         written: Callable[[], None],
-        wanted: Callable[[], bool],
+        purpose: Purpose,
         upload: Stream | None,
     ) -> None:
         self._upstream, self._pool, self._payload = upstream, pool, payload
         self._place = pool.place  # for which it was decided
-        self._written, self._wanted, self._upload = written, wanted, upload
+        self._written, self._purpose, self._upload = written, purpose, upload
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
@@ -362,19 +376,24 @@
         self._eager = False
 
     def start(self) -> None:
-        if (outcome := self._unwanted()) is not None:  # while it waited for a connection to rest
-            self._end(outcome, None)
-            return
         connection = self._upstream.take(self._pool)
         if connection is not None:
             self._write(connection)
         elif self._pool.idle and self._rest is None:  # once, so REST at most
-            self._rest = self._upstream.loop.call_later(REST / SECOND, self.start)
+            self._rest = self._upstream.loop.call_later(self._upstream.rests(self._pool), self._rested)
         elif self._upstream.room():
             self._connect = self._upstream.loop.create_task(self._open())
         else:
             self._end(Outcome.CONNECT_FAILED, None)
 
+    def _rested(self) -> None:
+        if not self._purpose.wanted(self._upstream.now()):
+            self._end(Outcome.MOOT, None)
+        elif self._pool.health != Health.READY:
+            self._end(Outcome.CONNECT_FAILED, None)
+        else:
+            self.start()
+
     def hasten(self) -> None:
         """There is hardly time for another attempt: hold back no answer any more for the sake of one."""
         self._eager = True
@@ -417,23 +436,14 @@
         else:
             self._write(connection)
 
-    def _unwanted(self) -> Outcome | None:
-        """How it ends, where it should not go out any more."""
-        if not self._wanted():
-            return Outcome.MOOT
-        stays = self._pool.health == Health.READY and self._pool.place == self._place
-        return None if stays else Outcome.CONNECT_FAILED
-
     def _write(self, connection: Connection) -> None:
         """The one place where the first byte of a request goes out. It was decided a while ago, so all that
         may have changed meanwhile is judged again: the endpoint may drain, be gone, have moved or drop the
         repeats of others, the client may have left, the time be over."""
-        outcome = self._unwanted()
-        if outcome is None and not self._pool.takes(connection):
-            outcome = Outcome.CONNECT_FAILED
-        if outcome is not None:
+        wanted = self._purpose.wanted(self._upstream.now())
+        if not (wanted and self._pool.takes(connection) and self._pool.place == self._place):
             self._upstream.give(self._pool, connection)
-            self._end(outcome, None)
+            self._end(Outcome.CONNECT_FAILED if wanted else Outcome.MOOT, None)
             return
         self._connection = connection
         free = partial(self._upstream.give, self._pool, connection)
@@ -474,7 +484,7 @@
         now: Callable[[], int],
         count: Callable[[str], None],
     ) -> None:
-        self.loop, self._now, self._count = loop, now, count
+        self.loop, self.now, self._count = loop, now, count
         self.retune(config)
         self._most = config.upstream_most
         self._open = 0
@@ -537,18 +547,18 @@
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
         written: Callable[[], None] = nothing,
-        wanted: Callable[[], bool] = always,
+        purpose: Purpose = ALWAYS,
         upload: Stream | None = None,
     ) -> Attempt | None:
-        """A new attempt, not yet started; None where the endpoint wants nothing new. `wanted` is asked again
-        when its first byte is about to go out."""
+        """A new attempt, not yet started; None where the endpoint wants nothing new. Its purpose is asked
+        whether it is still wanted when its first byte is about to go out."""
         pool = self._pools.get(endpoint)
         if pool is None or pool.health != Health.READY:
             return None
-        return Attempt(self, pool, payload, done, written, wanted, upload)
+        return Attempt(self, pool, payload, done, written, purpose, upload)
 
     def probe(self, endpoint: EndpointId, done: Callable[[int, int, tuple[float, ...]], None]) -> None:
-        began = self._now()
+        began = self.now()
 
         def ended(outcome: int, answer: Answer | None) -> None:
             timer.cancel()
@@ -557,7 +567,7 @@
                 answer.rest.drop()
             if answer is not None and answer.status == 503:
                 outcome = Outcome.FULL
-            done(outcome, self._now() - began, self.report(answer, body=True))
+            done(outcome, self.now() - began, self.report(answer, body=True))
 
         attempt = self.attempt(endpoint, lambda: self._probe, ended)
         if attempt is None:
@@ -592,24 +602,30 @@
         return True
 
     def take(self, pool: Pool) -> Connection | None:
-        """The most recently used idle connection that is still good and has rested; the others grow old and
-        close. If there is none, those left are resting."""
-        now, found = self._now(), None
-        resting: list[Connection] = []
-        while pool.idle and found is None:
-            connection = pool.idle.pop()
-            if connection.idle_since <= now - self._idle_most or not connection.usable():
-                connection.close()
-            elif connection.idle_since > now - REST:
-                resting.append(connection)
-            else:
-                found = connection
-        pool.idle += reversed(resting)
-        return found
+        """The most recently used idle connection that has rested and is still good; others grow old and are
+        closed. If there is none, those left are resting."""
+        now, idle = self.now(), pool.idle
+        for place in range(len(idle) - 1, -1, -1):
+            connection = idle[place]
+            if connection.rests_until > now:
+                continue
+            del idle[place]
+            if connection.idle_since > now - self._idle_most and connection.usable():
+                connection.sent_at = now
+                return connection
+            connection.close()
+        return None
+
+    def rests(self, pool: Pool) -> float:
+        """Seconds until the first of its idle connections has rested; a timer may be early by a millisecond."""
+        until = min(connection.rests_until for connection in pool.idle)
+        return max(0, until - self.now()) / SECOND + 0.001
 
     def give(self, pool: Pool, connection: Connection) -> None:
         if pool.takes(connection) and connection.usable():
-            connection.idle_since = now = self._now()
+            connection.idle_since = now = self.now()
+            if (rest := REST_SHARE * (now - connection.sent_at)) >= REST_LEAST:
+                connection.rests_until = now + min(REST, rest)
             pool.idle.append(connection)
             # The newest is used first, so the surplus gathers at the old end; the last one stays.
             while pool.idle[0].idle_since < now - SURPLUS_IDLE:
@@ -628,6 +644,7 @@
         connection = Connection(lost)
         connection.streams = True
         connection.dial = host, port = pool.dial
+        connection.sent_at = self.now()
         self._open += 1
         self._count("handshakes")
         try:
--- a/sprucenotch/policy/balance.py
+++ b/sprucenotch/policy/balance.py
@@ -16,7 +16,7 @@
 from sprucenotch.policy.admission import Admission
 from sprucenotch.policy.engines import SUBSET_SHRINK, Engines
 from sprucenotch.policy.learned import export, take_up, within
-from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending, Place
+from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending
 
 CYCLE_COUNT = 2000  # or this many sends, as in the write-up
 CYCLE_MOST = 3.0  # mean aims that a cycle short of evidence waits for more
@@ -410,7 +410,7 @@
             self.finish(request, now)
 
     def launch(self, request: Pending, member: Member, now: int) -> None:
-        request.member, request.place, request.sent = member, Place(member.zone, member.cell), now
+        request.member, request.place, request.sent = member, member.place, now
         request.attempts += 1
         member.inflight += 1
         self.flying += 1
--- a/sprucenotch/policy/engines.py
+++ b/sprucenotch/policy/engines.py
@@ -9,7 +9,7 @@
 
 from sprucenotch import api
 from sprucenotch.api import Effect, Health, ListKind, Outcome
-from sprucenotch.policy.state import CYCLE, Kind, Member, Pending, Place, free, mix, same
+from sprucenotch.policy.state import CYCLE, Kind, Member, Pending, free, mix, same
 
 FORGET = 50.0  # mean aims in which an estimate fades to the mean of the others, as slow spells last
 SUBSET_LEAST, SUBSET_FREE = 4, 8  # members of an almost idle sidecar where connections are priced, or not
@@ -116,13 +116,13 @@
     def idle(self, side: int, request: Pending, now: int) -> list[Member]:
         """The warm members that may have the request: the free, else all. For a warm key, the same few."""
         cls, key = request.cls, request.key if self.settings.warm_keys else 0
-        within: tuple[Member | Place, ...] = ()  # by what the list says, and by what it said then
-        if cls.effect == Effect.KEYED and request.ran is not None:
-            within = request.ran, request.ran_then
+        ran, scope = request.ran if cls.effect == Effect.KEYED else None, cls.scope
+        then = request.ran_then  # a repeat is dropped for sure by those near by the list of now and of then
         members = [
             m for m in (self.order if key else self.subset)[side]
             if m is not request.member and m not in request.asked and self.warmth(m, now) >= 1
-            and all(same(m, one, cls.scope) for one in within) and (not key or m.out_until <= now)
+            and (ran is None or (same(m, ran, scope) and same(m, then, scope)))
+            and (not key or m.out_until <= now)
         ]  # fmt: skip
         if key:
             members = nsmallest(KEY_MEMBERS, members, key=lambda m: mix(m.base ^ key))
--- a/sprucenotch/policy/state.py
+++ b/sprucenotch/policy/state.py
@@ -20,6 +20,16 @@
     return value ^ (value >> 31)
 
 
+class Place(Struct, frozen=True):
+    """Where an endpoint was as a request was sent to it: the list may say another zone or cell later."""
+
+    zone: int
+    cell: int
+
+
+NOWHERE = Place(-1, -1)
+
+
 class Member:
     """An endpoint as this sidecar knows it."""
 
@@ -31,6 +41,7 @@
 
     def update(self, entry: api.Endpoint) -> None:
         self.zone, self.cell, self.health = entry.zone, entry.cell, entry.health
+        self.place = Place(self.zone, self.cell)
         self.share, self.started = max(entry.share, 1e-3), entry.started
 
     def reset(self) -> None:
@@ -50,13 +61,6 @@
         self.try_left = 0  # the longest that a first try has been given
 
 
-class Place(Struct, frozen=True):
-    """Where an endpoint was as a request was sent to it: the list may say another zone or cell later."""
-
-    zone: int
-    cell: int
-
-
 class Pending:
     """A request that is owed its final answer."""
 
@@ -66,9 +70,8 @@
         self.key, self.coming = event.key, event.coming
         self.attempts = self.sent = self.ran_at = self.steps = self.open = 0
         self.member: Member | None = None  # where its last attempt went
-        self.place = Place(0, 0)  # of that one, then
+        self.place = self.ran_then = NOWHERE  # of these two, then
         self.ran: Member | None = None  # where it first may have run
-        self.ran_then = self.place
         self.counted = 0.0  # how much of its wait is in the evidence already
         self.asked: list[Member] = []  # members asked by a probe whether they are idle
         self.best: Member | None = None  # the quickest of those that answered
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -19,6 +19,7 @@
 ) -> None:
     """It comes once the next request has been decided on, and that one is sent to the same endpoint."""
     monkeypatch.setattr(upstream, "REST", 200_000_000, raising=False)
+    monkeypatch.setattr(upstream, "REST_SHARE", 1e6, raising=False)
 
     async def test() -> None:
         decided = asyncio.Event()
@@ -170,7 +171,7 @@
             assert asked.attempts == 2 and len(one.seen) + len(other.seen) == 1
             if late:
                 past = node.host.now() + 4_000_000_000
-                node.host.now = lambda: past
+                node.host.upstream.now = lambda: past
             connections.let.set()
             assert (await client.answer())[0] == 502
             assert len(one.seen) + len(other.seen) == 2 - late
