--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -27,7 +27,7 @@
 # An engine that misbehaves may answer twice, the second time some milliseconds late (1 to 4 ms as seen). An
 # answer names no request: on a connection that is used again by then, it would be taken for the next one's.
 # So one that has just come back rests, for no more than a tenth of what its answer took, as a longer rest
-# would cost more than it saves: min(REST, REST_SHARE x took), and not at all if that is less than timers tell.
+# would cost more than it saves: min(REST, REST_SHARE x took), and not if that is less than timers tell.
 REST, REST_SHARE, REST_LEAST = 6_000_000, 0.1, 1_000_000
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -352,8 +352,8 @@
     """A request on its way to an endpoint. It ends exactly once, with the answer or as a long one begins."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_place", "_pool", "_purpose",
-        "_rest", "_upload", "_upstream", "_written",
+        "__weakref__", "_connect", "_connection", "_done", "_eager", "_payload", "_place", "_pool",
+        "_purpose", "_rest", "_upload", "_upstream", "_written",
     )  # fmt: skip
 
     def __init__(
@@ -617,7 +617,7 @@
         return None
 
     def rests(self, pool: Pool) -> float:
-        """Seconds until the first of its idle connections has rested; a timer may be early by a millisecond."""
+        """Seconds until the first of its idle connections has rested; timers may be early by a millisecond."""
         until = min(connection.rests_until for connection in pool.idle)
         return max(0, until - self.now()) / SECOND + 0.001
 
