--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -617,7 +617,7 @@
         return None
 
     def rests(self, pool: Pool) -> float:
-        """Seconds until the first of its idle connections has rested; timers may be early by a millisecond."""
+        """Seconds until the first of its idle connections has rested; timers may come a millisecond early."""
         until = min(connection.rests_until for connection in pool.idle)
         return max(0, until - self.now()) / SECOND + 0.001
 
