Watch: a test of a drain that comes while a request by an old list waits for its connection

The order is easy to break again: a process sends by the list that it was handed before discovery has answered. Sound as it is, by the check at the first byte.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
@@ -24,6 +25,7 @@
     sidecar,
     status,
 )
+from tests.test_leaving import LateConnections
 
 ASKED = SETTINGS | {"Discovery": "on_request"}
 
@@ -148,3 +150,34 @@
             assert len(old.seen) == 1
 
     run(test())
+
+
+def test_a_process_that_began_with_an_old_list_keeps_a_drain_that_its_first_answer_tells() -> None:
+    """It was handed the list, and sends by it: the drain since comes while that connection comes up."""
+
+    async def test() -> None:
+        asked = asyncio.Event()
+
+        async def script(seen: Seen) -> bytes:
+            if len(service.seen) > 1:
+                return await never(seen)
+            await asked.wait()
+            return told(2, entry("s-0", served.dial, "draining"))
+
+        async with (
+            endpoint(always_ok) as served,
+            endpoint(script) as service,
+            sidecar(served.dial, discovery=service.dial, settings=ASKED) as node,
+        ):
+            connections = LateConnections(node)
+            node.discovery.watch(True)
+            client = await node.client()
+            client.writer.write(request())
+            await connections.coming.wait()
+            asked.set()
+            await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.DELTA)
+            connections.let.set()
+            assert (await client.answer())[0] == 503 and served.seen == []
+            assert (await called(service, 1))[0] == "from=1&hold_ms=0"
+
+    run(test())
