Streams: an end that the sidecar makes is not that of an answer without a length

Change: both are given up in a way that shows: the answer is no longer one that ends with its connection; towards the client the connection is reset where an answer is being written. Both tests fail without it: the client reads the part as whole.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -202,10 +202,12 @@
             self._stalled.cancel()
             self._stalled = None
         if on:
-            self._stalled = self.frontend.loop.call_later(within, self._abort)
+            self._stalled = self.frontend.loop.call_later(within, self._give_up)
 
-    def _abort(self) -> None:
-        if self._transport is not None:
+    def _give_up(self) -> None:
+        if self._writing is not None:
+            self._break_off()
+        elif self._transport is not None:
             self._transport.abort()
 
     def _hold(self, on: bool) -> None:
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -182,7 +182,14 @@
             self._stalled.cancel()
             self._stalled = None
         if self._transport is not None and (self._clogged or (self._rest is not None and not self._paused)):
-            self._stalled = asyncio.get_running_loop().call_later(STALLED, self._transport.abort)
+            self._stalled = asyncio.get_running_loop().call_later(STALLED, self._give_up)
+
+    def _give_up(self) -> None:
+        """Nothing moves any more. The end that follows is made here: it is not that of an answer which ends
+        with its connection."""
+        self._until_end = False
+        if self._transport is not None:
+            self._transport.abort()
 
     # ---- the answer's way in
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -15,7 +15,7 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.node import config
+from sprucenotch.node import config, frontend, upstream
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.frontend import TICK, ClientConnection, Frontend
 from sprucenotch.node.ledger import Incoming
@@ -267,6 +267,60 @@
     run(test())
 
 
+def test_an_answer_that_ends_with_its_connection_is_not_whole_where_the_sidecar_ends_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The engine falls silent in the middle of it, and is given up: an end, but not the engine's."""
+    monkeypatch.setattr(upstream, "STALLED", 0.05)
+
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + LONG[:200_000])
+        await reader.read()
+
+    async def test() -> None:
+        async with raw(silent) as dial, sidecar(dial) as node:
+            client = await node.client()
+            client.writer.write(request())
+            headers = await head_of(client.reader)
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await body_of(client.reader, headers)
+            await nothing_held(node)
+            assert node.host.standing.figures()["passed"]["read"] == 0
+            assert node.host.standing.figures()["bad_gateway"]["read"] == 1
+
+    run(test())
+
+
+def test_a_client_that_reads_too_late_can_tell_that_its_answer_was_broken_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It is of HTTP/1.0, to which the end of the connection is that of the answer."""
+    monkeypatch.setattr(frontend, "STALLED", 0.05)
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        with contextlib.suppress(ConnectionError):
+            writer.write(b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"\r\n" + chunked(LONG * 8))
+            await writer.drain()
+
+    async def test() -> None:
+        async with raw(script) as dial, sidecar(dial) as node:
+            client = await node.client()
+            transport = cast(asyncio.Transport, client.writer.transport)
+            transport.pause_reading()
+            client.writer.write(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            while not node.frontend._connections:
+                await asyncio.sleep(0)
+            while node.frontend._connections:
+                await asyncio.sleep(0.001)
+            transport.resume_reading()
+            with pytest.raises(ConnectionError):
+                await client.reader.read()
+
+    run(test())
+
+
 def test_an_old_caller_gets_an_answer_without_chunks_that_ends_with_the_connection() -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await head_of(reader)
