Upstream: an attempt that is given up ends its sending at once, before another can go out

Read for races: Attempt.abandon promised that the connection closes before anything else happens for the request. It does not: the loop's transport.abort() closes the socket in its next turn (a probe shows the peer's side open after abort() and ended one turn later), while the outcome is told, the decisions answer and the next attempt's first byte goes out on a kept connection all within the same one.

Change: Connection._end_sending shuts the sending side down in the same call, in the one place that gives up a request (close) and the one that ends an unreadable answer (_finish). One more call of the kernel for an attempt given up, none for others.

--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import select
+import socket
 import time
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -131,11 +133,22 @@
         return True
 
     def close(self) -> None:
+        self._end_sending()
         self._done, self._free, self._rest = None, nothing, None
         self._let_go()
         if self._transport is not None:
             self._transport.abort()
 
+    def _end_sending(self) -> None:
+        """Tell the peer at once that its request is given up, if its answer is still to come. The transport
+        would close only in the next turn of the loop, and another attempt may be on its way by then."""
+        if self._done is None or self._ended or self._transport is None:
+            return
+        own = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, self._fd)
+        with contextlib.suppress(OSError):  # the peer was first
+            own.shutdown(socket.SHUT_WR)
+        own.detach()
+
     def _let_go(self) -> None:
         if self._upload is not None:
             self._upload.detach()
@@ -252,6 +265,7 @@
     def _finish(self, answer: Answer | None, keep: bool) -> None:
         """The answer is whole, or no more of it will come."""
         if not (keep and self.whole) and self._transport is not None:
+            self._end_sending()
             self._transport.abort()
         self._let_go()
         if self._rest is not None:
@@ -417,8 +431,8 @@
         return self._connection is not None and not self._whole
 
     def abandon(self, outcome: int) -> None:
-        """Stop waiting: the connection closes before anything else happens for the request. One whose last
-        byte has not gone out by then never ran, whatever it is called off for."""
+        """Stop waiting: the connection's sending ends before anything else happens for the request. One whose
+        last byte has not gone out by then never ran, whatever it is called off for."""
         if outcome == Outcome.TIMEOUT and not self._whole:
             outcome = Outcome.CONNECT_FAILED
         if self._rest is not None:
