Shutdown: the listener closes once its queue is empty, so that nothing taken is reset

The loop takes one connection in a turn (seen: 19 in 20 turns) and runs its timers first, so where it stood still over that moment, as with a part of a core, what waits in the queue is reset by the kernel. A probe: five clients connect and write while the loop stands still, one is answered, four are reset. A request written whole on a connection that the sidecar's machine accepted is taken, so these are lost.

Change: stop_accepting lets the loop turn until the queue is empty, BACKLOG turns at most, then closes. The test has 20 clients in the queue; without the turns all but the first are reset.

--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -7,6 +7,7 @@
 import gc
 import logging
 import os
+import select
 import signal
 import socket
 import struct
@@ -85,7 +86,7 @@
     steer_to_successor(listener)
     event(log, logging.INFO, "draining", in_progress=host.telemetry.in_progress)
     await asyncio.sleep(ACCEPT_ON)
-    server.close()
+    await stop_accepting(server, listener)
     frontend.close_idle()
     # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
     # answer are given up by the rules for them, so this ends.
@@ -130,6 +131,19 @@
         event(log, logging.WARNING, "new connections cannot be steered to a successor", why=str(problem))
 
 
+async def stop_accepting(server: asyncio.Server, listener: socket.socket) -> None:
+    """Close the listener once its queue is empty: the kernel resets what still waits there, though its client
+    may have written a request by then. The loop takes one connection in a turn, and may have stood still over
+    the end of the time for new ones. At most BACKLOG turns, as many as the queue holds."""
+    poll = select.poll()
+    poll.register(listener.fileno(), select.POLLIN)
+    for _ in range(BACKLOG):
+        if not poll.poll(0):
+            break
+        await asyncio.sleep(0)
+    server.close()
+
+
 def reconfigure(taken: list[Config], host: Host, frontend: Frontend, discovery: Discovery) -> None:
     """Take up the replaced configuration file: settings, and where discovery is. All of it or nothing."""
     try:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -11,6 +11,8 @@
 from sprucenotch import api
 from sprucenotch.api import Outcome
 from sprucenotch.node import upstream
+from sprucenotch.node.frontend import ClientConnection
+from sprucenotch.node.serve import shared_listener, stop_accepting
 from sprucenotch.node.upstream import Attempt, Connection
 from tests.sidecar import SETTINGS, Seen, always_ok, endpoint, never, ok, request, run, sidecar
 from tests.test_leaving import LateConnections, completed
@@ -231,3 +233,28 @@
         server.close()
 
     run(test())
+
+
+def test_connections_that_wait_to_be_taken_as_the_listener_closes_are_taken_and_answered() -> None:
+    """The loop stands still over the end of the time for new connections, and clients come meanwhile."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            loop = asyncio.get_running_loop()
+            listener = shared_listener(("127.0.0.1", 0))
+            server = await loop.create_server(
+                lambda: ClientConnection(node.frontend), sock=listener, backlog=64
+            )
+            address = listener.getsockname()
+            clients = [socket.create_connection(address) for _ in range(20)]
+            for client in clients:
+                client.sendall(request())  # from here on the sidecar's machine has it
+            await stop_accepting(server, listener)
+            for client in clients:
+                client.setblocking(False)
+                assert (await loop.sock_recv(client, 1000)).startswith(b"HTTP/1.1 200")
+                client.close()
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(address)
+
+    run(test())
