Watch: one that a fault ends counts as failed, and a health that is no text is a malformed list

Read for races, the rows on malformed lists: host_list raised TypeError, not ValueError, for an entry whose health is a list or an object ("unhashable type"). Discovery._watch takes ValueError for a failed call; the other error ended its task, while the decisions believed in a watch until the process ended: no list, no drain was heard any more, and requests go to engines long announced as leaving. In a configuration the same was a trace, no plain line.

Change: the check in config._host; and in the mechanism, whatever error ends a watch is told as a fault in the log and as a failed call to the decisions (pushed: called again). A list counts as known only once it is learned, so that what a fault kept from it is asked for again. Tests: the odd values; a planted fault in learning, asked and pushed.

--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -225,7 +225,7 @@
     if not isinstance(entry, dict):
         raise ValueError("an entry is not an object")
     host, health = entry.get("host"), entry.get("health", "up")
-    if not isinstance(host, str) or health not in _HEALTHS:
+    if not isinstance(host, str) or not isinstance(health, str) or health not in _HEALTHS:
         raise ValueError(f"an entry makes no sense: host {host!r}, health {health!r}")
     try:
         endpoint = api.Endpoint(
--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -96,6 +96,7 @@
             self._watcher = None
         elif on and (self._watcher is None or self._watcher.done()):
             self._watcher = self._loop.create_task(self._watch())
+            self._watcher.add_done_callback(self._watch_over)
 
     def move(self, address: Address) -> None:
         """Go on at another address. The old one hangs up soon, and need not answer until then."""
@@ -157,6 +158,17 @@
             if not new:
                 await asyncio.sleep(PAUSE)
 
+    def _watch_over(self, watcher: asyncio.Task[None]) -> None:
+        """One that a fault in the program ended is a failed one: else nobody would ever ask again."""
+        if watcher.cancelled() or (fault := watcher.exception()) is None:
+            return
+        log.error("fault", exc_info=fault, extra={"fields": {"handling": "watch"}})
+        self._goes_on = False
+        if self._pushed:
+            self._loop.call_later(RETRY, self.watch, True)
+        else:
+            self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
+
     async def _call_agent(self, query: str) -> HostList:
         """A call to the agent, left open beside the next if it does not answer in time."""
         call = self._loop.create_task(self._call(query, CALL_TIMEOUT))
@@ -202,17 +214,17 @@
         """Pass a list on; whether it held anything new."""
         self._answered = self._host.now()
         if not told.whole and not told.hosts:
-            self._seq = told.seq
             if not self._pushed:
                 # The decisions wait for an answer to their call, even for an empty one.
                 self._host.learn(told, api.ListKind.DELTA)
+            self._seq = told.seq
             self._host.confirm()
             return False
         if told.whole and told.seq == self._seq and self._pushed:
             self._host.confirm()
             return False
-        self._seq = told.seq
         self._host.learn(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
+        self._seq = told.seq  # only now: what a fault kept from being learned is asked for again
         return True
 
     async def _call(self, query: str, timeout: float) -> HostList:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from typing import Any
 
@@ -129,6 +130,53 @@
     run(test())
 
 
+ENTRY = entry("s-1", "127.0.0.1:9")
+ODD: list[Any] = [[], {}, [[]], None, 1e400, -1e400, "", "x" * 200, "\ud800", 10**30, True]
+
+
+@pytest.mark.parametrize("change", [{key: value} for key in ENTRY for value in ODD])
+def test_whatever_an_entry_holds_is_either_taken_or_a_value_error(change: dict[str, Any]) -> None:
+    """The caller takes that one for a failed call; any other error would end the watch for ever."""
+    with contextlib.suppress(ValueError):
+        config.host_list({"seq": 1, "whole": True, "hosts": [ENTRY | change]}, config.Names({}, {}))
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_watch_that_a_fault_ends_is_a_failed_one_and_the_list_is_asked_for_again(pushed: bool) -> None:
+    async def script(seen: Seen) -> bytes:
+        at = seen.line.partition(b"from=")[2].partition(b"&")[0]
+        return told(1 + len(service.seen), ENTRY) if at == b"1" else await never(seen)
+
+    service: Endpoint
+
+    async def test() -> None:
+        nonlocal service
+        settings = SETTINGS if pushed else ASKED
+        async with (
+            endpoint(script) as service,
+            sidecar("127.0.0.1:9", discovery=service.dial, settings=settings) as node,
+        ):
+            learn, faults = node.host.learn, [1, 2]
+
+            def planted(told: config.HostList, kind: int) -> None:
+                if faults:
+                    raise KeyError(faults.pop())
+                learn(told, kind)
+
+            node.host.learn = planted  # type: ignore[method-assign]
+            node.discovery.watch(True)
+            for number in (1, 2):
+                if not pushed:
+                    while failures(node) < number:
+                        node.changed.clear()
+                        await node.changed.wait()
+                    node.discovery.watch(True)  # as the decisions do, at their pace
+            await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.DELTA)
+            assert {call.partition("&")[0] for call in await called(service, 3)} >= {"from=1"}
+
+    run(test())
+
+
 def test_discovery_that_moved_is_called_at_once_also_where_no_watch_is_out() -> None:
     """A watch has failed, and the decisions wait before they ask again, here for ever; what the new address
     has to tell counts as told soon."""
