Frontend: at the most clients, one that is done makes room before one that is about to ask

Read for races, the row on limits: Frontend.opened closed the oldest connection on which no request was under way. One that was used is owed nothing, and what crosses its close is sent again.

Change: first those that are left (used, idle, nothing unread), then as before. The test fails without it: the new one is closed.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import select
 import socket
 import struct
@@ -522,10 +523,12 @@
 
     def opened(self, connection: ClientConnection) -> None:
         if len(self._connections) >= self._most:
-            # Descriptors run out: one that is idle makes room, or the oldest that never finishes its request.
+            # Descriptors run out: one that its client is done with makes room, else one that is idle, or the
+            # oldest that never finishes its request. What crosses the close of the first is sent again.
+            done = (c for c in self._connections if c.left)
+            idle = (c for c in self._connections if c.idle)
             spare = (c for c in self._connections if not c.owed)
-            victim = next((c for c in self._connections if c.idle), None) or next(spare, connection)
-            victim.close()
+            next(itertools.chain(done, idle, spare, (connection,))).close()
         self._connections[connection] = None
 
     def closed(self, connection: ClientConnection) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -474,6 +474,24 @@
     run(test())
 
 
+def test_at_the_most_clients_the_one_that_is_done_makes_room_and_not_one_about_to_ask() -> None:
+    """A close that crosses a request on a used connection has it sent again; on a new one it fails."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            node.frontend._most = 2
+            fresh = await node.client()
+            while len(node.frontend._connections) < 1:
+                await asyncio.sleep(0)
+            used = await node.client()
+            assert (await used.ask(request()))[0] == 200
+            another = await node.client()
+            assert await used.ended()
+            assert (await fresh.ask(request()))[0] == 200 and (await another.ask(request()))[0] == 200
+
+    run(test())
+
+
 # ---- discovery
 
 
