Upstream: a connection given up in the turn in which it comes up is counted no longer

Read for races: Upstream.connect counts a connection until it is lost. Where its attempt ends (time-out, deadline) between connection_made and the turn of the task that waits for it, the loop closes the transport itself and never calls connection_lost, so abort() finds it closed and the count stays: one of upstream_most is gone for good, and after enough of them every attempt fails for want of room.

Change: lost() counts each connection down once, and connect calls it whenever it gives one up; `made` is not needed any more. The test makes the order happen and fails without the change: 1 connection counted, none open.

--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -58,7 +58,7 @@
 
     def __init__(self, on_lost: Callable[[Connection], None] | None = None) -> None:
         self._on_lost = on_lost
-        self.made = False
+        self.counted = False  # among those that are open, or on their way up
         self._transport: asyncio.Transport | None = None
         self._fd = -1
         self._poll = select.poll()
@@ -80,7 +80,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.Transport, transport)
-        self.made = True
         self._transport.set_write_buffer_limits(0)  # so that it tells when the last byte has gone out
         self._fd = self._transport.get_extra_info("socket").fileno()
         self._poll.register(self._fd, select.POLLIN)
@@ -661,12 +660,14 @@
         """A new connection. It is counted until it is lost, which may be before this returns."""
 
         def lost(connection: Connection) -> None:
-            self._open -= 1
+            if connection.counted:
+                connection.counted = False
+                self._open -= 1
             if connection in pool.idle:
                 pool.idle.remove(connection)
 
         connection = Connection(lost)
-        connection.streams = True
+        connection.streams = connection.counted = True
         connection.dial = host, port = pool.dial
         self._open += 1
         self._count("handshakes")
@@ -674,10 +675,9 @@
             async with asyncio.timeout(self._connect_timeout):
                 await self.loop.create_connection(lambda: connection, host, port)
         except BaseException:
-            if connection.made:
-                connection.close()
-            else:
-                self._open -= 1
+            # Given up in the turn in which it came up, the loop closes it and never says that it is lost.
+            connection.close()
+            lost(connection)
             raise
         return connection
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -422,6 +422,36 @@
     run(test())
 
 
+def test_a_connection_given_up_as_it_comes_up_is_not_counted_for_ever(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its time runs out between its coming up and the turn of the task that waits for it."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            upstream = node.host.upstream
+            outcomes: asyncio.Queue[int] = asyncio.Queue()
+            made = Connection.connection_made
+
+            def given_up(connection: Connection, transport: asyncio.BaseTransport) -> None:
+                made(connection, transport)
+                attempt.abandon(Outcome.TIMEOUT)
+
+            monkeypatch.setattr(Connection, "connection_made", given_up)
+            started = upstream.attempt(
+                config.endpoint_id("s-0"), request, lambda outcome, answer: outcomes.put_nowait(outcome)
+            )
+            assert started is not None
+            attempt = started
+            attempt.start()
+            waits = attempt._connect
+            assert waits is not None and await outcomes.get() == Outcome.CONNECT_FAILED
+            await asyncio.wait((waits,))
+            assert upstream.connections == 0 and served.seen == []
+
+    run(test())
+
+
 def test_a_stopping_sidecar_answers_all_that_was_pipelined_before_it_closes() -> None:
     async def test() -> None:
         go_on = asyncio.Event()
