--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -497,8 +497,9 @@
             body, room = bytes(self._body), self._room
             self._room = 0
             if body or self._parser.get_method() == b"POST":
-                incoming = incoming._replace(head=incoming.head + b"Content-Length: %d\r\n" % len(body))
-            self.frontend.host.request(exchange, incoming._replace(body=body), room)
+                framed = incoming.head + b"Content-Length: %d\r\n" % len(body)
+                incoming = incoming._replace(head=framed, body=body)
+            self.frontend.host.request(exchange, incoming, room)
         else:
             self._up(exchange)
 
