Shutdown: all that wait in the listener's queue are taken in one go as it closes

The turns that lets the loop make take one connection each, while others come, so that after 512 turns the queue still held some.

Change: the queue is emptied by accept itself, without a turn between, then the listener is closed.

--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -4,14 +4,15 @@
 
 import array
 import asyncio
+import contextlib
 import gc
 import logging
 import os
-import select
 import signal
 import socket
 import struct
 import sys
+from collections.abc import Callable
 
 import uvloop
 from msgspec import structs
@@ -77,7 +78,11 @@
     loop.add_signal_handler(signal.SIGHUP, reconfigure, taken, host, frontend, discovery)
     loop.add_signal_handler(signal.SIGUSR1, lambda: toggle(taken[0].log.level))
     listener = shared_listener(config.listen)
-    server = await loop.create_server(lambda: ClientConnection(frontend), sock=listener, backlog=BACKLOG)
+
+    def client() -> ClientConnection:
+        return ClientConnection(frontend)
+
+    server = await loop.create_server(client, sock=listener, backlog=BACKLOG)
     frontend.listening = True
     await told_to_stop.wait()
     # Answers close their connections from here on, so that clients leave as they are served.
@@ -86,7 +91,7 @@
     steer_to_successor(listener)
     event(log, logging.INFO, "draining", in_progress=host.telemetry.in_progress)
     await asyncio.sleep(ACCEPT_ON)
-    await stop_accepting(server, listener)
+    await stop_accepting(server, listener, client)
     frontend.close_idle()
     # No time limit here, as it would cut off long answers under way. Peers that neither send, nor read, nor
     # answer are given up by the rules for them, so this ends.
@@ -131,17 +136,19 @@
         event(log, logging.WARNING, "new connections cannot be steered to a successor", why=str(problem))
 
 
-async def stop_accepting(server: asyncio.Server, listener: socket.socket) -> None:
-    """Close the listener once its queue is empty: the kernel resets what still waits there, though its client
-    may have written a request by then. The loop takes one connection in a turn, and may have stood still over
-    the end of the time for new ones. At most BACKLOG turns, as many as the queue holds."""
-    poll = select.poll()
-    poll.register(listener.fileno(), select.POLLIN)
-    for _ in range(BACKLOG):
-        if not poll.poll(0):
-            break
-        await asyncio.sleep(0)
+async def stop_accepting(
+    server: asyncio.Server, listener: socket.socket, client: Callable[[], ClientConnection]
+) -> None:
+    """Close the listener with its queue empty: the kernel resets what still waits there, though its client
+    may have written a request by then. The loop takes one connection in a turn, and may have stood still
+    over the end of the time for new ones, so all that wait are taken here: BACKLOG at most, as may wait."""
+    waiting: list[socket.socket] = []
+    with contextlib.suppress(OSError):  # none is left, or no descriptor for one more
+        while len(waiting) < BACKLOG:
+            waiting.append(listener.accept()[0])
     server.close()
+    loop = asyncio.get_running_loop()
+    await asyncio.gather(*(loop.connect_accepted_socket(client, taken) for taken in waiting))
 
 
 def reconfigure(taken: list[Config], host: Host, frontend: Frontend, discovery: Discovery) -> None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -241,18 +241,20 @@
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             loop = asyncio.get_running_loop()
             listener = shared_listener(("127.0.0.1", 0))
-            server = await loop.create_server(
-                lambda: ClientConnection(node.frontend), sock=listener, backlog=64
-            )
+
+            def client() -> ClientConnection:
+                return ClientConnection(node.frontend)
+
+            server = await loop.create_server(client, sock=listener, backlog=64)
             address = listener.getsockname()
             clients = [socket.create_connection(address) for _ in range(20)]
-            for client in clients:
-                client.sendall(request())  # from here on the sidecar's machine has it
-            await stop_accepting(server, listener)
-            for client in clients:
-                client.setblocking(False)
-                assert (await loop.sock_recv(client, 1000)).startswith(b"HTTP/1.1 200")
-                client.close()
+            for one in clients:
+                one.sendall(request())  # from here on the sidecar's machine has it
+            await stop_accepting(server, listener, client)
+            for one in clients:
+                one.setblocking(False)
+                assert (await loop.sock_recv(one, 1000)).startswith(b"HTTP/1.1 200")
+                one.close()
             with pytest.raises(ConnectionRefusedError):
                 socket.create_connection(address)
 
