Tests: one way to wait for the n-th event, and one engine that does as a handler says

Need, on reading the whole change again: two tests looped over the events of a sidecar by hand to wait for the n-th of a kind, beside Sidecar.event; two others made a server of their own, and one the hanging handler again, where test_stream has them.

Change: Sidecar.event takes a number; failures() became the predicate that its siblings are; test_orders uses raw and hangs of test_stream. No assertion changed. Seen: with the rest and the end of sending taken out, the tests of test_orders for these fail as before. 644 passed.

--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -163,12 +163,12 @@
         self.server = await loop.create_server(lambda: ClientConnection(self.frontend), "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def event(self, wanted: Callable[[Any], bool]) -> Any:
-        """The first event, past or to come, that is wanted."""
+    async def event(self, wanted: Callable[[Any], bool], number: int = 1) -> Any:
+        """The event, past or to come, that is the first wanted one, or that of another number."""
         while True:
-            for event in self.events:
-                if wanted(event):
-                    return event
+            found = [event for event in self.events if wanted(event)]
+            if len(found) >= number:
+                return found[number - 1]
             self.changed.clear()
             await self.changed.wait()
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -180,9 +180,7 @@
                 await asyncio.sleep(0)
             client.writer.write(request())
             await leave(client)  # type: ignore[operator]
-            while sum(map(gone, node.events)) < PIPELINE_MOST:
-                node.changed.clear()
-                await node.changed.wait()
+            await node.event(gone, PIPELINE_MOST)
             assert LEFT_TICK <= 0.1  # a third of what the terms allow
             connections.let.set()
             while node.host._open:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from typing import Any
 
 import pytest
 
@@ -17,6 +16,7 @@
 from tests.sidecar import SETTINGS, Seen, always_ok, endpoint, never, ok, request, run, sidecar
 from tests.test_leaving import LateConnections, completed
 from tests.test_retuning import swap
+from tests.test_stream import Handler, hangs, raw
 
 
 def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request(
@@ -45,8 +45,7 @@
                 await answers_twice(reader, writer)
 
         opened: list[bool] = []
-        server = await asyncio.start_server(answers, "127.0.0.1", 0)
-        async with sidecar(f"127.0.0.1:{server.sockets[0].getsockname()[1]}") as node:
+        async with raw(answers) as dial, sidecar(dial) as node:
             client = await node.client()
             assert await client.ask(request()) == (200, {b"content-length": b"5"}, b"first")
             client.writer.write(request())
@@ -54,7 +53,6 @@
                 await asyncio.sleep(0)
             decided.set()
             assert (await client.answer())[2] == b"second"
-        server.close()
 
     run(test())
 
@@ -197,17 +195,12 @@
     await reader.read()
 
 
-async def hangs(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    await reader.read()
-
-
 @pytest.mark.parametrize("engine", [hangs, answers_nonsense])
-def test_an_attempt_that_ends_is_off_before_the_decisions_can_send_another(engine: Any) -> None:
+def test_an_attempt_that_ends_is_off_before_the_decisions_can_send_another(engine: Handler) -> None:
     """Timed out or answered with nonsense: no moment in which two attempts of the request are out."""
 
     async def test() -> None:
-        server = await asyncio.start_server(engine, "127.0.0.1", 0)
-        async with sidecar(f"127.0.0.1:{server.sockets[0].getsockname()[1]}") as node:
+        async with raw(engine) as dial, sidecar(dial) as node:
             out: list[tuple[int, bool]] = []
             handle = node.host._balancer.handle
 
@@ -229,7 +222,6 @@
             while not out:
                 await asyncio.sleep(0)
             assert out[0] == (Outcome.TIMEOUT if engine is hangs else Outcome.ERROR, False)
-        server.close()
 
     run(test())
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -215,7 +215,7 @@
 
 def test_the_module_is_told_the_time_to_the_head_of_a_long_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        async with raw(_hang) as dial, sidecar(dial) as node:
+        async with raw(hangs) as dial, sidecar(dial) as node:
             client = await node.client()
             client.writer.write(request())
             while not node.host._open:
@@ -234,7 +234,7 @@
     run(test())
 
 
-async def _hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def hangs(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await reader.read()
 
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -15,7 +15,6 @@
     SETTINGS,
     Endpoint,
     Seen,
-    Sidecar,
     always_ok,
     endpoint,
     entry,
@@ -43,8 +42,8 @@
     return [seen.line.split()[1].decode().partition("?")[2] for seen in service.seen]
 
 
-def failures(node: Sidecar) -> int:
-    return sum(isinstance(e, api.EndpointList) and e.kind == api.ListKind.FAILED for e in node.events)
+def failed(event: api.Event) -> bool:
+    return isinstance(event, api.EndpointList) and event.kind == api.ListKind.FAILED
 
 
 def test_the_time_for_a_silent_watch_is_less_than_what_it_missed_has_until_it_counts_as_told() -> None:
@@ -79,7 +78,7 @@
             assert (await called(service, 4))[:4] == [
                 "from=1&hold_ms=0", "from=1&hold_ms=50", "from=1&hold_ms=0", "from=2&hold_ms=50",
             ]  # fmt: skip
-            assert failures(node) == 0
+            assert not any(map(failed, node.events))
             client = await node.client()
             assert (await client.ask(request()))[0] == 503 and served.seen == []
 
@@ -103,7 +102,7 @@
             sidecar("127.0.0.1:9", discovery=service.dial, settings=ASKED) as node,
         ):
             node.discovery.watch(True)
-            await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.FAILED)
+            await node.event(failed)
             refused = len(service.seen) - 2
             assert 1 < refused <= 1 + discovery.SILENCE_TOLD / discovery.RETRY_OWED
 
@@ -124,7 +123,7 @@
                 sidecar("127.0.0.1:9", discovery=service.dial, settings=ASKED) as node,
             ):
                 node.discovery.watch(True)
-                await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.FAILED)
+                await node.event(failed)
                 assert await called(service, 2) == ["from=1&hold_ms=0", "from=1&hold_ms=20000"]
 
     run(test())
@@ -167,9 +166,7 @@
             node.discovery.watch(True)
             for number in (1, 2):
                 if not pushed:
-                    while failures(node) < number:
-                        node.changed.clear()
-                        await node.changed.wait()
+                    await node.event(failed, number)
                     node.discovery.watch(True)  # as the decisions do, at their pace
             await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.DELTA)
             assert {call.partition("&")[0] for call in await called(service, 3)} >= {"from=1"}
@@ -191,7 +188,7 @@
             sidecar("127.0.0.1:9", discovery=old.dial, settings=ASKED) as node,
         ):
             node.discovery.watch(True)
-            await node.event(lambda e: getattr(e, "kind", None) == api.ListKind.FAILED)
+            await node.event(failed)
             node.host.watch = lambda on: None
             node.discovery.move(config.address(new.dial))
             await new.arrived.wait()
