Discovery: one schedule says when it is called, within what a change has until it counts

Lines at fault: Balancer.on_attached put the first call off by up to 0.4 of the time to ask in (4 of 10 s), and on_list after a failed one by 0.1 to 0.4 of it, with the rest of the time to ask in as their bound; a change counts as told 6 s after discovery had it, whatever else is allowed.

Ruled out: failed calls (none), a slow answer (at most 0.77 s). Not taken: all calls at once.

Change: policy/discovery.py holds the schedule and its bound as a formula over failed calls; Balancer alone calls, by a timer of its own. The first call is spread over a quarter of the budget (1.6 s), refused calls come again within an eighth, one that waited long after up to as long again, a silent one at once, with its place in the queue kept. The drain grace comes from the settings. Watches hold for 14 to 20 s, as those that end together come again together. A move is told to the decisions. Fetch, which nobody asked for, is gone.

--- a/sprucenotch/api.py
+++ b/sprucenotch/api.py
@@ -37,6 +37,7 @@
     CACHED = 1  # the list as last held, perhaps stale
     DELTA = 2  # changed entries only
     FULL = 3  # the complete list
+    SILENT = 4  # a call to discovery said nothing in time; the list in hand stays
 
 
 class Outcome(IntEnum):
@@ -80,6 +81,7 @@
     over_share_worth: float = 1.0
     discovery_on_request: bool = False
     ask_within: int = 10_000_000_000
+    drain_grace: int = 500_000_000  # how long requests may still go to a server whose drain counts as told
     cold_from: float = 1.0  # a starting endpoint can do at least this share of its work
     cold_for: int = 0  # and is warm after this time
     fall_multiple: float = 2.0
@@ -216,6 +218,10 @@
     age: int
 
 
+class DiscoveryMoved(NamedTuple):
+    """Discovery is to be called at another address from now on. The simulator has no such event."""
+
+
 class PeerMessage(NamedTuple):
     sender: int
     body: bytes
@@ -234,6 +240,7 @@
     | PeerMessage
     | Retuned
     | Recalled
+    | DiscoveryMoved
 )
 
 
@@ -268,15 +275,11 @@
 
 
 class Watch(NamedTuple):
-    """Ask discovery for the changes from now on."""
+    """Ask discovery for what is new, and then for the changes from now on."""
 
     on: bool
 
 
-class Fetch(NamedTuple):
-    """Ask discovery for the whole list once."""
-
-
 class Probe(NamedTuple):
     endpoint: EndpointId
 
@@ -294,4 +297,4 @@
     text: str
 
 
-Action: TypeAlias = Send | Refuse | Fail | Cancel | SetTimer | Watch | Fetch | Probe | Disconnect | Tell | Log
+Action: TypeAlias = Send | Refuse | Fail | Cancel | SetTimer | Watch | Probe | Disconnect | Tell | Log
--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -4,74 +4,73 @@
 
 import asyncio
 import logging
+import random
 
 import msgspec
 
 from sprucenotch import api
-from sprucenotch.node.config import Address, Config, HostList, host_list
+from sprucenotch.node.config import SECOND, Address, Config, HostList, host_list
 from sprucenotch.node.host import Host
 from sprucenotch.node.log import event
 from sprucenotch.node.upstream import Answer, Connection
+from sprucenotch.policy import discovery as schedule
 
 log = logging.getLogger(__name__)
 
 LIST_MOST = 16 * 1024 * 1024
-# Where discovery is asked, each call costs a service that all sidecars share, so a watch waits for long. What
-# one misses that falls silent counts as told 6 s after that, or 2 s after its wait is over if that is later,
-# which it is for a wait of 4 s or more. No request may go out later than that by more than a drain's grace.
-# So one is given up at `hold + GRACE` and opened anew at once, without a wait. The answer has what is left:
-#     hold + GRACE + answer <= hold + SILENCE_TOLD + drain's grace, of 0.5 s or more:  answer <= 2 s
-# The decisions would ask only after 0.1 to 0.4 of the time to ask in, as after a refusal: too late.
-HOLD = 20.0
-GRACE = 0.5  # an answer is late by so much before its call is given up: answers of no entries come at once
-SILENCE_TOLD = 2.0
-# A call that does not wait stands in line with those of the whole fleet, some seconds at the most. What a
-# silent one misses counts as told after 6 s: ANSWER_WITHIN + answer <= 6 s + drain's grace.
-ANSWER_WITHIN = 4.0
-CONNECT_WITHIN = 1.0  # for a connection to come up, whatever the call may wait for then
-# While something missed is about to count as told, a refused call is made again soon, not at the decisions'
-# pace: at most SILENCE_TOLD / RETRY_OWED calls more after a silence, MOVED_TOLD / RETRY_OWED after a move.
-MOVED_TOLD = 4.0  # after SIGHUP, all that discovery has to tell counts as told
-RETRY_OWED = 0.25
+# Where discovery is asked, each call costs a service that all sidecars share, so a watch waits for long: up
+# to MAX_HOLD, and by a drawn share less, as watches that end together come again together. What a watch
+# misses that falls silent counts as told 6 s after that, or SILENT_WATCH_DEADLINE after its wait is over if
+# that is later, which it is for a wait of 4 s or more. It is given up HOLD_GRACE after its wait, and the
+# next call goes out at once, without a wait. Its answer has what is left:
+#     HOLD_GRACE + MAX_GAP + answer <= SILENT_WATCH_DEADLINE + drain grace
+MAX_HOLD, MIN_HOLD_SHARE = 20.0, 0.7
+HOLD_GRACE = (
+    0.5  # an answer is late by so much before its call is given up: answers of no entries come at once
+)
+SILENT_WATCH_DEADLINE = 2.0
+CONNECT_TIMEOUT = 1.0  # for a connection to come up, whatever the call may wait for then
 # What the agent has counts as told, also while a call to it hangs: a hung one must end, and the next begin,
 # within the grace that a drain leaves. Calls to it cost nothing.
-HOLD_PUSHED, GRACE_PUSHED = 0.25, 0.2
-CALL_TIMEOUT = 5.0
+HOLD_PUSHED, HOLD_GRACE_PUSHED = 0.25, 0.2
+AGENT_TIMEOUT = 5.0
+OVERDUE_TIMEOUT = 10.0  # of one that stays open beside the next, counted anew: longer than services let wait
 PAUSE = 0.05  # between watches that brought nothing new: well under the 200 ms that end a watch
-RETRY = 0.05  # after a failed call to the agent
-# One that does not answer may be slow and not hung: the oldest of the calls to it stay open beside the
-# next, and the first that is answered counts. These are within the descriptors that are kept for the
-# program's own use.
-OVERDUE_MOST = 4
+RETRY_PUSHED = 0.05  # after a failed call to the agent
+# One that does not answer may be slow and not hung: the oldest of the calls stay open beside the next, so
+# that none loses its place in a queue, and the first that is answered counts. These are within the
+# descriptors that are kept for the program's own use.
+MAX_OVERDUE = 4
 
 
 class CallFailed(Exception):
     """A call to discovery brought no list."""
 
 
-class Silent(CallFailed):
-    """Nor did discovery say anything else, though the connection was there: what it had to tell is missed."""
+class CallSilent(CallFailed):
+    """Nor did discovery say anything else in time, though the connection was there."""
 
 
 class Discovery:
+    """Calls discovery when the decisions say so, or, where lists are pushed, the agent all the time."""
+
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self._host, self._loop = host, loop
+        self._random = random.Random(config.seed).random
         self._address = config.discovery
         self._adopt(config)
         self._seq = config.known.seq
         self._connection: Connection | None = None
         self._watcher: asyncio.Task[None] | None = None
-        self._fetcher: asyncio.Task[None] | None = None
         self._overdue: set[asyncio.Task[HostList]] = set()
-        self._owed_until = 0.0  # by the loop's clock: until then, what was missed does not count as told yet
         self._answered: int | None = None  # when discovery last said what is the newest
         self._goes_on = False  # whether a watch is out that began right after an answer
-        host.watch, host.fetch = self.watch, self.fetch
+        host.watch = self.watch
 
     def _adopt(self, config: Config) -> None:
         self._names = config.names
         self._pushed = not config.settings.discovery_on_request
-        self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
+        self._response_timeout = schedule.response_timeout(config.settings) / SECOND
 
     @property
     def age(self) -> int | None:
@@ -107,49 +106,30 @@
         self._give_up_overdue()
         if self._connection is not None:
             self._connection.close()
-        self._owed_until = self._loop.time() + MOVED_TOLD
         self.watch(False)
-        self.watch(True)
-        if self._fetcher is not None and not self._fetcher.done():
-            self._fetcher.cancel()
-            self._fetcher = self._loop.create_task(self._fetch())
-
-    def fetch(self) -> None:
-        if self._fetcher is None or self._fetcher.done():
-            self._fetcher = self._loop.create_task(self._fetch())
+        if not self._pushed:
+            self._host.post(api.DiscoveryMoved())
+        self.start()
 
     async def _watch(self) -> None:
-        """One watch after the other. Where discovery is asked, one that is refused or breaks is the last: the
-        decisions ask anew. One that fell silent is opened anew at once, as what it missed counts as told."""
-        silent = False
+        """One watch after the other. Where discovery is asked, one that fails is the last: the decisions call
+        again when that is due."""
         while True:
             asked = self._seq
-            # A process that nothing has been told yet asks what is new by now: a watch on a list that is the
-            # newest would say nothing for as long as it holds, and the process would not know that it is.
-            # After a silence the same holds.
-            hold = self._hold if self._host.told and not silent else 0.0
-            query = f"?from={asked}&hold_ms={hold * 1000:.0f}"
             try:
-                if self._pushed:
-                    told = await self._call_agent(query)
-                else:
-                    told = await self._call(query, hold + self._grace if hold else ANSWER_WITHIN)
-            except Silent as problem:
-                self._goes_on = False
-                self._failed(problem)
-                silent = True
-                self._owed_until = self._loop.time() + SILENCE_TOLD
-                continue
+                told = await (self._call_agent() if self._pushed else self._call_service())
             except CallFailed as problem:
                 self._goes_on = False
-                self._failed(problem)
-                if not self._pushed and self._loop.time() >= self._owed_until:
+                event(log, logging.DEBUG, "discovery failed", why=str(problem))
+                self._count("lists_failed")
+                if not self._pushed:
                     self._watcher = None
-                    self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
+                    silent = isinstance(problem, CallSilent)
+                    kind = api.ListKind.SILENT if silent else api.ListKind.FAILED
+                    self._host.post(api.EndpointList(kind, ()))
                     return
-                await asyncio.sleep(RETRY if self._pushed else RETRY_OWED)
+                await asyncio.sleep(RETRY_PUSHED)
                 continue
-            silent = False
             self._give_up_overdue()  # they were asked earlier: what they still might tell is older
             if asked != self._seq and told.seq <= self._seq:
                 continue  # an overdue call was answered meanwhile, and told more
@@ -165,26 +145,45 @@
         log.error("fault", exc_info=fault, extra={"fields": {"handling": "watch"}})
         self._goes_on = False
         if self._pushed:
-            self._loop.call_later(RETRY, self.watch, True)
+            self._loop.call_later(RETRY_PUSHED, self.watch, True)
         else:
             self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
 
-    async def _call_agent(self, query: str) -> HostList:
-        """A call to the agent, left open beside the next if it does not answer in time."""
-        call = self._loop.create_task(self._call(query, CALL_TIMEOUT))
+    async def _call_agent(self) -> HostList:
+        """A call to the agent, which waits for something new."""
+        query = self._query(HOLD_PUSHED)
+        return await self._call_beside(query, HOLD_PUSHED + HOLD_GRACE_PUSHED, AGENT_TIMEOUT)
+
+    async def _call_service(self) -> HostList:
+        """A call to the service: a watch that waits for something new if it follows on an answer.
+
+        Else it asks what is new by now, as a watch on a list that is the newest would say nothing for as long
+        as it holds, and nobody would know that it is.
+        """
+        if not self._goes_on:
+            return await self._call_beside(self._query(0.0), self._response_timeout, OVERDUE_TIMEOUT)
+        hold = MAX_HOLD * (1 - (1 - MIN_HOLD_SHARE) * self._random())
+        return await self._call(self._query(hold), hold + HOLD_GRACE)
+
+    def _query(self, hold: float) -> str:
+        return f"?from={self._seq}&hold_ms={hold * 1000:.0f}"
+
+    async def _call_beside(self, query: str, patience: float, timeout: float) -> HostList:
+        """A call that is left open beside the next if it is not answered within its patience."""
+        call = self._loop.create_task(self._call(query, timeout))
         try:
-            done, _ = await asyncio.wait((call,), timeout=self._hold + self._grace)
+            done, _ = await asyncio.wait((call,), timeout=patience)
         except asyncio.CancelledError:
             call.cancel()
             raise
         if done:
             return call.result()
-        if len(self._overdue) < OVERDUE_MOST:
+        if len(self._overdue) < MAX_OVERDUE:
             self._overdue.add(call)
             call.add_done_callback(self._answered_late)
         else:
             call.cancel()
-        raise CallFailed("overdue")
+        raise CallSilent("overdue")
 
     def _give_up_overdue(self) -> None:
         for call in self._overdue:
@@ -192,19 +191,12 @@
 
     def _answered_late(self, call: asyncio.Task[HostList]) -> None:
         self._overdue.discard(call)
-        if not call.cancelled() and call.exception() is None and call.result().seq > self._seq:
-            self._take(call.result())
-
-    async def _fetch(self) -> None:
-        try:
-            self._take(await self._call("", CALL_TIMEOUT))
-        except CallFailed as problem:
-            self._failed(problem)
-            self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
-
-    def _failed(self, problem: CallFailed) -> None:
-        event(log, logging.DEBUG, "discovery failed", why=str(problem))
-        self._count("lists_failed")
+        if call.cancelled() or call.exception() is not None:
+            return
+        told = call.result()
+        # Where discovery is asked, an answer with nothing new confirms the list in hand.
+        if told.seq > self._seq or (told.seq == self._seq and not self._pushed):
+            self._take(told)
 
     def _count(self, name: str) -> None:
         if not self._pushed:  # calls to an agent of its own cost the fleet nothing
@@ -261,7 +253,7 @@
             if connection is not None:
                 connection.close()
             if isinstance(problem, TimeoutError):
-                raise Silent("no answer in time") from None
+                raise CallSilent("no answer in time") from None
             raise
         kept = self._connection is None and address == self._address
         if answer is not None and answer.status == 200 and kept:
@@ -272,7 +264,7 @@
 
     async def _connect(self, address: Address) -> Connection:
         try:
-            async with asyncio.timeout(CONNECT_WITHIN):
+            async with asyncio.timeout(CONNECT_TIMEOUT):
                 _, connection = await self._loop.create_connection(Connection, *address)
         except OSError as problem:  # a time-out is one
             raise CallFailed(f"{type(problem).__name__} {problem}") from None
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -57,13 +57,12 @@
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.SetTimer: self._set_timer, api.Probe: self._probe, api.Log: self._log,
             api.Disconnect: lambda a: self.upstream.disconnect(a.endpoint),
-            api.Watch: lambda a: self.watch(a.on), api.Fetch: lambda a: self.fetch(),
+            api.Watch: lambda a: self.watch(a.on),
             api.Tell: lambda a: self.tell(a.peer, a.body),
         }  # fmt: skip
         self._know_classes()
         # Set by the parts that do them.
         self.watch: Callable[[bool], None] = lambda on: None
-        self.fetch: Callable[[], None] = lambda: None
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
         self.heard: Callable[[HostList, int], None] = lambda told, kind: None
--- a/sprucenotch/policy/balance.py
+++ b/sprucenotch/policy/balance.py
@@ -14,6 +14,7 @@
 from sprucenotch import api
 from sprucenotch.api import Effect, Health, ListKind, Outcome
 from sprucenotch.policy.admission import Admission
+from sprucenotch.policy.discovery import CallSchedule
 from sprucenotch.policy.engines import SUBSET_SHRINK, Engines
 from sprucenotch.policy.learned import export, take_up, within
 from sprucenotch.policy.state import CYCLE, SECOND, SMOOTH, Kind, Member, Pending
@@ -34,7 +35,6 @@
 RETRY_SHARE, RETRY_SAVED = 0.1, 5.0  # retry budget: share of sends, and how much of it may be saved up
 SPILL_STEP = 0.025  # change of the chance to cross zones, a cycle, for a difference that counts as overload
 STAY_AWAY = SECOND  # advice to a refused client, where clients take any: some cycles
-ASK_SPREAD = 0.4  # part of the time to ask in over which sidecars restarted in bulk spread their first call
 POOL_KEEP, POOL_KEEP_MOST = 0.6, 0.85  # of pooled evidence kept a cycle: some second's worth; where thin
 EVIDENCE_FULL = 8.0  # outcomes in the pool from which it is thick enough for the shorter memory
 PEERS, PEER_MIX = 1, 0.25  # told each cycle; weight of a peer's cut, so that the fleet sheds smoothly
@@ -47,7 +47,7 @@
 ASK_TICKS = 3  # turns, beyond the way there and back, after which an idle member would have answered
 STILL_MOST = 2.2 * SECOND  # held unsent while a sidecar stands still, a request is lost: longer is unheard of
 ASK_STEPS = 4  # rounds of asking before one is sent blindly: a tenth of a second, short of any usual aim
-TICK = 0  # the token of the one timer
+TICK, CALL = 0, (1 << 64) - 1  # tokens of timers: the cycle's, and that of the next call to discovery
 
 
 class Balancer:
@@ -62,9 +62,10 @@
             api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded, api.Probed: self.on_probed,
             api.PeerMessage: self.on_peer, api.Recalled: self.on_recalled,
             api.Retuned: lambda now, event: self.adopt(event.settings),
+            api.DiscoveryMoved: self.on_discovery_moved,
         }  # fmt: skip
         self.subscribed = not settings.discovery_on_request
-        self.ask_at = 0
+        self.schedule = CallSchedule(0)
         self.flying = 0  # attempts out
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
         self.hop = [0, 0]  # the quickest answer to a probe, in this zone and from others
@@ -107,17 +108,37 @@
 
     def on_attached(self, now: int, event: api.Attached) -> None:
         self.cycle_from = now
-        self.ask_at = now + int(self.rand() * ASK_SPREAD * self.settings.ask_within)
+        self.schedule = CallSchedule(int(self.rand() * (1 << 53)))
+        if not self.subscribed:
+            self.out.append(api.SetTimer(1 + self.schedule.start(now, self.settings), CALL))
         self.out.append(api.SetTimer(1 + int(self.rand() * CYCLE * self.aim), TICK))
 
     def on_list(self, now: int, event: api.EndpointList) -> None:
-        if event.kind == ListKind.FAILED:
-            self.subscribed = not self.settings.discovery_on_request
-            self.ask_at = now + int((0.1 + 0.3 * self.rand()) * self.settings.ask_within)
+        if event.kind in (ListKind.FAILED, ListKind.SILENT):
+            self.on_call_failed(now, event.kind == ListKind.SILENT)
             return
-        self.subscribed |= event.kind != ListKind.CACHED
+        if event.kind != ListKind.CACHED:
+            self.subscribed = True
+            self.schedule.succeeded()
         self.engines.update(event.kind, event.endpoints)
 
+    def on_call_failed(self, now: int, silent: bool) -> None:
+        self.subscribed = not self.settings.discovery_on_request
+        if not self.subscribed:
+            pause = self.schedule.silent() if silent else self.schedule.failed(now, self.settings)
+            self.out.append(api.SetTimer(pause, CALL))
+
+    def on_discovery_moved(self, now: int, event: api.DiscoveryMoved) -> None:
+        """What the new address has to tell counts as told soon after, so the first call does not wait."""
+        self.subscribed = not self.settings.discovery_on_request
+        self.schedule.succeeded()
+        self.call_discovery(now)
+
+    def call_discovery(self, now: int) -> None:
+        if not self.subscribed:
+            self.schedule.called(now)
+            self.out.append(api.Watch(True))
+
     def learned(self, now: int) -> api.Learned:
         """What a successor may go on from."""
         known = export(now, self.engines, self.kinds, self.admission)
@@ -131,11 +152,6 @@
         cycles = age / (CYCLE * self.aim)
         self.crossing = within(learned.crossing, 0.0, 1.0, 0.0) * (1 - SPILL_STEP) ** cycles
 
-    def subscribe(self, now: int) -> None:
-        if not self.subscribed and now >= self.ask_at:
-            self.out.append(api.Watch(True))
-            self.ask_at = now + self.settings.ask_within // 2  # should no reply come at all
-
     # ---- asking idle members ------------------------------------------------------------------------------
 
     def may_cross(self, cls: api.RequestClass) -> bool:
@@ -252,6 +268,9 @@
     # ---- cycles and the cut -------------------------------------------------------------------------------
 
     def on_timer(self, now: int, event: api.Timer) -> None:
+        if event.token == CALL:
+            self.call_discovery(now)
+            return
         if event.token != TICK:
             request = self.pending.get(event.token - 1)
             if request is not None and not request.attempts:
@@ -262,7 +281,6 @@
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
             self.engines.peak = max(self.flying, self.engines.peak)
         self.engines.dirty = True
-        self.subscribe(now)
         self.cycle(now)
 
     def cycle(self, now: int) -> None:
--- a/sprucenotch/settings.py
+++ b/sprucenotch/settings.py
@@ -95,6 +95,7 @@
 
 class Rules(Part, frozen=True):
     ask_within_ns: Span = 10_000_000_000
+    drain_grace_ns: Time = 500_000_000
     cold_from: Share = 1
     cold_ns: Span = 0
     fall_multiple: Share = 2
@@ -150,6 +151,7 @@
             over_share_worth=self.over_share_worth,
             discovery_on_request=self.discovery == "on_request",
             ask_within=int(rules.ask_within_ns),
+            drain_grace=int(rules.drain_grace_ns),
             cold_from=rules.cold_from,
             cold_for=int(rules.cold_ns),
             fall_multiple=rules.fall_multiple,
