Start: no clients are taken before discovery has answered, or 5 s have passed

Need: a process that starts with an old list may have been down for longer than a change has until it counts as told, so that no schedule of calls can keep its first requests from servers that left meanwhile.

Lines at fault: ClientConnection's /up said yes and the listener took clients at once, by the list of the configuration; only the staff's /api/ready waited, for 3 s at most.

Change: serve listens once Host.until_informed is over: discovery has told or confirmed the list, a predecessor has handed over a fresh one, or START_TIMEOUT (5 s, of the 6 s that a restart may take) has passed, so that service goes on with discovery down. SIGTERM before that ends the process at once.

--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections import Counter, deque
@@ -29,9 +30,10 @@
 log = logging.getLogger(__name__)
 
 DEADLINE_MARGIN = 10 * MS  # the client's time ends this much earlier here: for loop lag and the way back
-# A process not yet told may take over with its last list, which can be stale, but no sooner: what discovery
-# has told binds it from then on. Much later, and a replacement would not come in time.
-TOLD_WITHIN = 3 * SECOND
+# A process that discovery has told nothing yet may hold a list that is stale, and what changed since may
+# count as told already. So it takes no requests until then; with discovery down it serves by that list in
+# the end. A restarted process has 6 s to be ready, of which the rest is for its start.
+START_TIMEOUT = 5 * SECOND
 # After SIGTERM the process is killed no sooner than the longest deadline, taken for 3 s where it is longer,
 # and 0.7 s. What comes later than 0.7 s after the signal, on a connection still open, may have less than its
 # own time: it is answered so long before the end, for the way to the client and a late loop.
@@ -66,9 +68,9 @@
         self.tell: Callable[[int, bytes], None] = lambda peer, body: None
         self.listed = False  # whether any endpoint has been named yet
         self.heard: Callable[[HostList, int], None] = lambda told, kind: None
-        self.told = False  # whether discovery has, since the start
+        self._told = asyncio.Event()  # set once discovery has told or confirmed the list to this process
         self.handed = False  # whether the process before has handed over a list that is fresh
-        self._patient_until = self.now() + TOLD_WITHIN
+        self._start_deadline = self.now() + START_TIMEOUT
         self._killed_at: int | None = None  # once told to stop: all is answered by then
 
     # ---- events
@@ -110,7 +112,8 @@
 
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
-        self.told = self.told or kind != api.ListKind.CACHED
+        if kind != api.ListKind.CACHED:
+            self._told.set()
         self.upstream.learn(told.hosts, whole=kind != api.ListKind.DELTA)
         self.telemetry.keep_engines(self.upstream)
         self.heard(told, kind)
@@ -125,12 +128,20 @@
 
     def confirm(self) -> None:
         """Discovery has answered that the list in hand is the newest."""
-        self.told = True
+        self._told.set()
 
     @property
     def informed(self) -> bool:
         """Whether engines are known, by a list from discovery unless that is long in coming."""
-        return self.listed and (self.told or self.handed or self.now() >= self._patient_until)
+        in_time = self.now() < self._start_deadline
+        return self.listed and (self._told.is_set() or self.handed or not in_time)
+
+    async def until_informed(self) -> None:
+        """Wait until discovery has told something, or is too long in coming."""
+        left = (self._start_deadline - self.now()) / SECOND
+        if not self.handed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._told.wait(), left)
 
     def post(self, event: api.Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -12,7 +12,8 @@
 import socket
 import struct
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import uvloop
 from msgspec import structs
@@ -78,6 +79,10 @@
     loop.add_signal_handler(signal.SIGHUP, reconfigure, taken, host, frontend, discovery)
     loop.add_signal_handler(signal.SIGUSR1, lambda: toggle(taken[0].log.level))
     listener = shared_listener(config.listen)
+    await first_of(told_to_stop.wait(), host.until_informed())
+    if told_to_stop.is_set():
+        listener.close()
+        return
 
     def client() -> ClientConnection:
         return ClientConnection(frontend)
@@ -101,6 +106,14 @@
     event(log, logging.INFO, "drained")
 
 
+async def first_of(*waits: Coroutine[Any, Any, object]) -> None:
+    """Return once one of these is over; the others are cancelled."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
+
 def rendered(host: Host) -> bytes:
     """The metrics. Where nobody gathers them, nothing is loaded for it."""
     from sprucenotch.node import metrics
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -120,6 +120,11 @@
     return ok(request.body or b"done")
 
 
+async def nothing_new(request: Seen) -> bytes:
+    """Discovery's answer to a process whose list, of version 1, is the newest."""
+    return ok(b'{"seq": 1, "whole": false, "hosts": []}')
+
+
 async def never(request: Seen) -> bytes:
     await asyncio.Event().wait()
     return b""
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -101,7 +101,7 @@
             now = node.host.now()
             node.host.now = lambda: now
             assert not node.frontend.ready
-            node.host.now = lambda: node.host._patient_until
+            node.host.now = lambda: node.host._start_deadline
             assert node.frontend.ready
 
     run(test())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -22,6 +22,7 @@
     dead_dial,
     endpoint,
     never,
+    nothing_new,
     ok,
     request,
     run,
@@ -53,10 +54,11 @@
             await go_on.wait()
             return ok(b"done")
 
-        async with endpoint(held) as served:
+        async with endpoint(held) as served, endpoint(nothing_new) as discovery:
             listen = dead_dial()
             file = tmp_path / "config.json"
-            file.write_text(json.dumps(configuration(served.dial, listen=listen)))
+            told = configuration(served.dial, listen=listen, discovery=discovery.dial)
+            file.write_text(json.dumps(told))
             process = await asyncio.create_subprocess_exec(
                 *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
             )
@@ -104,12 +106,15 @@
         dial = f"127.0.0.1:{engine.sockets[0].getsockname()[1]}"
         listen, file = dead_dial(), tmp_path / "config.json"
         brief = [c | {"AimNs": 50_000_000, "HardLimitNs": 100_000_000} for c in SETTINGS["Categories"]]
-        told = configuration(dial, listen=listen, settings=SETTINGS | {"Categories": brief})
-        file.write_text(json.dumps(told))
-        process = await asyncio.create_subprocess_exec(
-            *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
-        )
-        client, idle = await connected(listen), await connected(listen)
+        async with endpoint(nothing_new) as discovery:
+            told = configuration(
+                dial, listen=listen, discovery=discovery.dial, settings=SETTINGS | {"Categories": brief}
+            )
+            file.write_text(json.dumps(told))
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
+            )
+            client, idle = await connected(listen), await connected(listen)
         assert (await idle.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
         client.writer.write(request())
         await half.wait()
@@ -187,12 +192,60 @@
     run(test())
 
 
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+def test_a_process_takes_no_clients_before_discovery_has_answered_it(tmp_path: Path, mode: str) -> None:
+    """Its list may be stale, and what changed since may count as told already."""
+
+    async def test() -> None:
+        answers = asyncio.Event()
+
+        async def late(seen: Seen) -> bytes:
+            await answers.wait()
+            return await nothing_new(seen)
+
+        async with endpoint(always_ok) as served, endpoint(late) as discovery:
+            listen, file = dead_dial(), tmp_path / "config.json"
+            settings = SETTINGS | {"Discovery": mode}
+            told = configuration(served.dial, listen=listen, discovery=discovery.dial, settings=settings)
+            file.write_text(json.dumps(told))
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
+            )
+            await discovery.arrived.wait()
+            host, _, port = listen.rpartition(":")
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(host, int(port))
+            answers.set()
+            client = await connected(listen)
+            assert (await client.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+            process.terminate()
+            assert await process.wait() == 0
+
+    run(test())
+
+
+def test_a_process_that_is_stopped_before_it_is_ready_ends_at_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with endpoint(never) as discovery:
+            file = tmp_path / "config.json"
+            told = configuration("127.0.0.1:9", listen=dead_dial(), discovery=discovery.dial)
+            file.write_text(json.dumps(told))
+            process = await asyncio.create_subprocess_exec(
+                *COMMAND, env=os.environ | {"PROXY_CONFIG": str(file)}, cwd=ROOT
+            )
+            await discovery.arrived.wait()
+            process.terminate()
+            assert await process.wait() == 0
+
+    run(test())
+
+
 def test_a_replaced_configuration_is_taken_up_on_sighup_without_a_break(tmp_path: Path) -> None:
     async def test() -> None:
         async with (
             endpoint(always_ok) as served,
             endpoint(never) as old,
-            endpoint(never) as new,
+            endpoint(nothing_new) as new,
         ):
             listen, file = dead_dial(), tmp_path / "config.json"
             file.write_text(json.dumps(configuration(served.dial, listen=listen, discovery=old.dial)))
