Frontend: one poll object for both questions to a client's socket

Need: ClientConnection._unread and _look each built a poll object at every call; _look armed its timer again before it knew the answer, to cancel it after, and checked for a transport that connection_lost, which cancels the timer, had taken away.

Change: the poll object is registered once, as the connection is made; both read its events. _look arms its timer again only where the client is still there.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -37,6 +37,8 @@
 # Nothing may be sent on for a client that left over 0.3 s ago. Its end is seen at once where its connection
 # is read; while that is paused, the socket is asked as often as this: with 0.2 s left for a late loop.
 LEFT_TICK = 0.1
+# What poll reports once the peer has closed, half-closed or reset its connection.
+PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LINGER = 2.0  # after the last answer, for what the client still sends: a close would destroy the answer
 
 
@@ -44,6 +46,7 @@
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()  # of the socket, once there is one
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[Exchange] = deque()
         self._writing: Exchange | None = None  # the first of them, once its answer has begun to leave
@@ -82,11 +85,12 @@
 
     def _unread(self) -> bool:
         """Whether something that the client sent lies in the kernel."""
-        if self._transport is None:
-            return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self._socket_events() != 0
+
+    def _socket_events(self) -> int:
+        """What poll reports of the socket now: POLLIN, PEER_ENDED; 0 once the connection is lost."""
+        ready = self._poll.poll(0) if self._transport is not None else []
+        return ready[0][1] if ready else 0
 
     def _begin(self) -> None:
         self._url = b""
@@ -105,6 +109,7 @@
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(0)  # so that it tells when an answer has left
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self._await_request()
         self.frontend.opened(self)
 
@@ -137,15 +142,11 @@
 
     def _look(self) -> None:
         """See whether the client left while its connection is not read: what it sent before stays unread."""
-        self._look_after(True)
-        if self._transport is None:
-            return
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        if poll.poll(0):
-            self._look_after(False)
+        if self._socket_events() & PEER_ENDED:
             self.eof_received()
             self.close()
+        else:
+            self._look_after(True)
 
     def _forget(self, exchange: Exchange) -> None:
         """The client will not get this answer."""
