A client's socket is asked as the first byte of an attempt is about to go out

While a connection's reading is paused, behind PIPELINE_MOST requests or a long body that nobody takes yet, ClientConnection._look asked the socket each 0.1 s, in a loop that may be late: 0.15 s were measured. And where the loop was late with a request and its end both in the kernel, the request was sent as it was read, before its end was.

At fault: Open.wanted judged a client only by what the loop had heard of it.

Change: Open.wanted, where every first byte is decided, asks the socket by poll(..., 0) for POLLRDHUP, POLLHUP and POLLERR (ClientConnection.connected, by way of the exchange). If the client left, all its requests without an answer are concluded and the connection is closed, as where the end is read. The timer stays, as a bound of how long memory, places and half-sent requests are kept for a client that left; no attempt depends on it.

Tests: with the timer out of the way and the end seen in the kernel by FIN, half-close and reset, no first attempt, no further one and no long body begins; request and end in the kernel at once. Each seen to fail with the question taken out of Open.wanted: 16 requests sent; a second attempt out; the long body served; the late one sent. test_leaving, test_stream, test_node, test_orders: 146 passed.

--- a/sprucenotch/node/exchange.py
+++ b/sprucenotch/node/exchange.py
@@ -13,10 +13,13 @@
 class Exchange:
     """A request of a connection and its answer, which goes out in its turn."""
 
-    __slots__ = ("_flush", "answer", "id", "last", "old", "upload")
+    __slots__ = ("_flush", "answer", "connected", "id", "last", "old", "upload")
 
-    def __init__(self, flush: Callable[[], None], last: bool, old: bool) -> None:
-        self._flush, self.last = flush, last  # whether the connection ends with it
+    def __init__(
+        self, flush: Callable[[], None], connected: Callable[[], bool], last: bool, old: bool
+    ) -> None:
+        self._flush, self.connected = flush, connected
+        self.last = last  # whether the connection ends with it
         self.old = old  # HTTP/1.0: knows no chunks, and takes a connection as closed unless told
         self.id = 0  # the host's; 0: answered here
         self.answer: Answer | None = None
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -34,8 +34,8 @@
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 TICK = 0.25  # how often a peer that is waited for is looked at
-# Nothing may be sent on for a client that left over 0.3 s ago. Its end is seen at once where its connection
-# is read; while that is paused, the socket is asked as often as this: with 0.2 s left for a late loop.
+# How often a connection whose reading is paused is checked for its client's end. It bounds how long memory,
+# places and half-sent requests are kept for one that left; no attempt depends on it: `connected`.
 LEFT_TICK = 0.1
 # What poll reports once the peer has closed, half-closed or reset its connection.
 PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -142,11 +142,17 @@
 
     def _look(self) -> None:
         """See whether the client left while its connection is not read: what it sent before stays unread."""
+        if self.connected():
+            self._look_after(True)
+
+    def connected(self) -> bool:
+        """Ask the socket whether the client is still there, also where its end is not yet read: reading is
+        paused, or the loop is late. A client that left is owed no further answer from here on."""
         if self._socket_events() & PEER_ENDED:
             self.eof_received()
             self.close()
-        else:
-            self._look_after(True)
+            return False
+        return self._transport is not None
 
     def _forget(self, exchange: Exchange) -> None:
         """The client will not get this answer."""
@@ -237,7 +243,7 @@
         self._give_room_back()
         exchange = self._exchange
         if exchange is None:
-            exchange = Exchange(self.flush, last=True, old=False)
+            exchange = Exchange(self.flush, self.connected, last=True, old=False)
             self._exchanges.append(exchange)
         exchange.last = True
         if exchange.answer is None:
@@ -374,7 +380,7 @@
     def on_headers_complete(self) -> None:
         self._headed = True
         old = self._parser.get_http_version() == "1.0"
-        exchange = Exchange(self.flush, not self._parser.should_keep_alive(), old)
+        exchange = Exchange(self.flush, self.connected, not self._parser.should_keep_alive(), old)
         self._exchange = exchange
         self._exchanges.append(exchange)
         if self._parser.should_upgrade():  # what follows would not be HTTP
--- a/sprucenotch/node/ledger.py
+++ b/sprucenotch/node/ledger.py
@@ -24,6 +24,9 @@
 
     def fail(self, timed_out: bool) -> None: ...
 
+    def connected(self) -> bool:
+        """Ask the socket whether the client is there; if not, `Host.gone` is called before this returns."""
+
 
 class Incoming(NamedTuple):
     """A request as the client sent it, checked."""
@@ -75,11 +78,11 @@
         self.patience: asyncio.TimerHandle | None = None
 
     def wanted(self, now: int) -> bool:
-        """Whether it may go out: somebody waits for its answer, there is time for one, and a repeat is still
-        harmless."""
+        """Whether it may go out: there is time for its answer, a repeat is still harmless, and the client
+        waits for it at this moment: the socket is asked, as the loop may not have heard of its end yet."""
         if self.answered or (now >= self.expires and not self.coming):
             return False
-        return not self.before or now < self.before
+        return (not self.before or now < self.before) and self.client.connected()
 
     def payload(self, now: Callable[[], int]) -> bytes:
         left = self.incoming.deadline if self.coming else max(0, self.until - now())
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -12,8 +13,8 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.node import config
-from sprucenotch.node.frontend import LEFT_TICK, PIPELINE_MOST
+from sprucenotch.node import config, frontend
+from sprucenotch.node.frontend import PIPELINE_MOST, ClientConnection
 from sprucenotch.node.upstream import Connection, Pool
 from tests.sidecar import (
     SETTINGS,
@@ -181,7 +182,7 @@
             client.writer.write(request())
             await leave(client)  # type: ignore[operator]
             await node.event(gone, PIPELINE_MOST)
-            assert LEFT_TICK <= 0.1  # a third of what the terms allow
+            assert frontend.LEFT_TICK <= 0.1  # for so long what is held for the client is kept at most
             connections.let.set()
             while node.host._open:
                 await asyncio.sleep(0)
@@ -190,8 +191,92 @@
     run(test())
 
 
+@pytest.fixture
+def unheard(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While reading is paused, the connection is not checked for its client's end within any test."""
+    monkeypatch.setattr(frontend, "LEFT_TICK", 3600.0)
+
+
+async def read_no_further(node: Sidecar) -> ClientConnection:
+    """The only client's connection, once its reading is paused."""
+    [connection] = node.frontend._connections
+    while not connection._stopped:
+        await asyncio.sleep(0)
+    return connection
+
+
+async def kernel_knows(connection: ClientConnection) -> None:
+    """Wait until the client's end has come to the sidecar's socket."""
+    assert connection._transport is not None
+    poll = select.poll()
+    poll.register(connection._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    while not poll.poll(0):
+        await asyncio.sleep(0)
+
+
+@WAYS
+@pytest.mark.usefixtures("unheard")
+def test_unheard_behind_others_no_first_attempt_begins(leave: object) -> None:
+    """The end is asked for where the first byte is about to go out: no timer and no read tells of it."""
+
+    async def test() -> None:
+        async with late() as (served, node, connections):
+            client = await node.client()
+            client.writer.write(request() * PIPELINE_MOST)
+            await connections.coming.wait()
+            connection = await read_no_further(node)
+            client.writer.write(request())
+            await leave(client)  # type: ignore[operator]
+            await kernel_knows(connection)
+            assert not any(gone(event) for event in node.events)
+            connections.let.set()
+            while node.host._open:
+                await asyncio.sleep(0)
+            assert served.seen == [] and node.host.telemetry.upstream_tries == 0
+            assert sum(gone(event) for event in node.events) == PIPELINE_MOST
+            assert node.host.budget.used == 0
+
+    run(test())
+
+
+@WAYS
+@pytest.mark.usefixtures("unheard")
+def test_unheard_behind_others_no_further_attempt_begins(leave: object) -> None:
+    """One of the first attempts is declined after the client left; the others go on."""
+
+    async def test() -> None:
+        decline = asyncio.Semaphore(0)
+
+        async def declines_one(seen: Seen) -> bytes:
+            await decline.acquire()
+            return status(503, b"Srv-Declined: 1")
+
+        async with (
+            endpoint(declines_one) as one,
+            endpoint(declines_one) as other,
+            sidecar(one.dial, other.dial) as node,
+        ):
+            client = await node.client()
+            client.writer.write(request() * PIPELINE_MOST)
+            connection = await read_no_further(node)
+            while len(one.seen) + len(other.seen) < PIPELINE_MOST:
+                await asyncio.sleep(0)
+            await leave(client)  # type: ignore[operator]
+            await kernel_knows(connection)
+            assert not any(gone(event) for event in node.events)
+            decline.release()
+            first = await node.event(completed)
+            assert (first.outcome, first.over) == (Outcome.FULL, False)
+            further = await node.event(completed, 2)
+            assert (further.id, further.outcome, further.over) == (first.id, Outcome.MOOT, True)
+            assert node.host.telemetry.upstream_tries == len(one.seen) + len(other.seen) == PIPELINE_MOST
+
+    run(test())
+
+
 @WAYS
-def test_while_its_long_body_waits_for_the_connection_and_is_read_no_further(leave: object) -> None:
+@pytest.mark.usefixtures("unheard")
+def test_unheard_with_a_long_body_that_is_read_no_further(leave: object) -> None:
     async def test() -> None:
         async with late() as (served, node, connections):
             client = await node.client()
@@ -200,18 +285,38 @@
             client.writer.write(head + b"-" * 80_000)
             await client.writer.drain()
             await connections.coming.wait()
-            [connection] = node.frontend._connections
-            while not connection._stopped:
-                await asyncio.sleep(0)
+            connection = await read_no_further(node)
             await leave(client)  # type: ignore[operator]
-            await node.event(gone)
+            await kernel_knows(connection)
             connections.let.set()
-            assert (await node.event(completed)).outcome == Outcome.MOOT
+            outcome = await node.event(completed)
+            assert (outcome.outcome, outcome.over) == (Outcome.MOOT, True)
             assert served.seen == [] and node.host.budget.used == 0
 
     run(test())
 
 
+def test_before_its_request_is_read_as_the_loop_is_late() -> None:
+    """Request and end lie in the kernel together, and a connection to the endpoint is at hand: the request is
+    read first, and would go out before the end is read."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            other = await node.client()
+            assert (await other.ask(request()))[0] == 200
+            [pool] = node.host.upstream._pools.values()
+            [kept] = pool.idle
+            kept.rests_until = 0
+            with socket.create_connection(("127.0.0.1", node.port)) as client:  # the loop stands still
+                client.sendall(request())
+            await node.event(gone)
+            while node.host._open:
+                await asyncio.sleep(0)
+            assert len(served.seen) == 1 and pool.idle == [kept]
+
+    run(test())
+
+
 def test_an_endpoint_that_moved_while_a_connection_came_up_gets_nothing_at_its_old_address() -> None:
     async def test() -> None:
         async with endpoint(never) as new, late() as (old, node, connections):
