Frontend: the names of the check for a client that left, renamed

Need: LEFT_TICK, _look, _look_after and _looking did not say what is checked.

Change: DISCONNECT_CHECK_INTERVAL, _check_disconnect, _schedule_disconnect_check, _disconnect_timer. Nothing else. test_leaving, test_stream, test_node, test_orders: 146 passed.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -36,7 +36,7 @@
 TICK = 0.25  # how often a peer that is waited for is looked at
 # How often a connection whose reading is paused is checked for its client's end. It bounds how long memory,
 # places and half-sent requests are kept for one that left; no attempt depends on it: `connected`.
-LEFT_TICK = 0.1
+DISCONNECT_CHECK_INTERVAL = 0.1
 # What poll reports once the peer has closed, half-closed or reset its connection.
 PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LINGER = 2.0  # after the last answer, for what the client still sends: a close would destroy the answer
@@ -60,7 +60,7 @@
         self._fresh = True  # no request has come yet
         self._overdue: asyncio.TimerHandle | None = None  # while a request is awaited or has come in part
         self._stalled: asyncio.TimerHandle | None = None  # while the client does not read, or after the end
-        self._looking: asyncio.TimerHandle | None = None  # while reading is paused
+        self._disconnect_timer: asyncio.TimerHandle | None = None  # while reading is paused
         self._patience = Patience()
         self._rules = frontend.rules  # by which the last head was checked
         self._begin()
@@ -118,7 +118,7 @@
         self._ended = True
         self._in_time()
         self._watch_client(False)
-        self._look_after(False)
+        self._schedule_disconnect_check(False)
         self.frontend.closed(self)
         self._give_room_back()
         for exchange in self._exchanges:
@@ -133,17 +133,19 @@
             if exchange.answer is None:
                 self.frontend.host.gone(exchange.id)
 
-    def _look_after(self, on: bool) -> None:
-        if self._looking is not None:
-            self._looking.cancel()
-            self._looking = None
+    def _schedule_disconnect_check(self, on: bool) -> None:
+        if self._disconnect_timer is not None:
+            self._disconnect_timer.cancel()
+            self._disconnect_timer = None
         if on:
-            self._looking = self.frontend.loop.call_later(LEFT_TICK, self._look)
+            self._disconnect_timer = self.frontend.loop.call_later(
+                DISCONNECT_CHECK_INTERVAL, self._check_disconnect
+            )
 
-    def _look(self) -> None:
+    def _check_disconnect(self) -> None:
         """See whether the client left while its connection is not read: what it sent before stays unread."""
         if self.connected():
-            self._look_after(True)
+            self._schedule_disconnect_check(True)
 
     def connected(self) -> bool:
         """Ask the socket whether the client is still there, also where its end is not yet read: reading is
@@ -228,7 +230,7 @@
         stop = not self._ended and (self._held if self._headed else self._full)
         if stop != self._stopped and self._transport is not None and not self._transport.is_closing():
             self._stopped = stop
-            self._look_after(stop)
+            self._schedule_disconnect_check(stop)
             if stop:
                 self._transport.pause_reading()
             else:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -182,7 +182,7 @@
             client.writer.write(request())
             await leave(client)  # type: ignore[operator]
             await node.event(gone, PIPELINE_MOST)
-            assert frontend.LEFT_TICK <= 0.1  # for so long what is held for the client is kept at most
+            assert frontend.DISCONNECT_CHECK_INTERVAL <= 0.1  # how long anything is held for it
             connections.let.set()
             while node.host._open:
                 await asyncio.sleep(0)
@@ -194,7 +194,7 @@
 @pytest.fixture
 def unheard(monkeypatch: pytest.MonkeyPatch) -> None:
     """While reading is paused, the connection is not checked for its client's end within any test."""
-    monkeypatch.setattr(frontend, "LEFT_TICK", 3600.0)
+    monkeypatch.setattr(frontend, "DISCONNECT_CHECK_INTERVAL", 3600.0)
 
 
 async def read_no_further(node: Sidecar) -> ClientConnection:
