Cold servers: the trickle without a warm one grows by time, not by lists that come

Where no member of the subset is warm, Engines.refill added `fair * CYCLE / 2` to the credit on every call. It is called after each list as well as once a cycle, so changes of the list that come often, as in a release with a bulk restart, let all processes together send a cold server a multiple of one request in two mean aims.

The credit now grows by the part of a cycle that has passed since the last refill, one cycle at most, which is never more than before.

tests/test_cold.py sums, by a fed clock, what 2, 20, 30 and 230 balancers send to one cold server, against N + 2 * sqrt(N) + 2 in every window: held for each.

--- a/sprucenotch/policy/engines.py
+++ b/sprucenotch/policy/engines.py
@@ -31,6 +31,7 @@
         self.order: list[list[Member]] = [[], []]  # ready endpoints by rank: of this zone, of others
         self.subset: list[list[Member]] = [[], []]
         self.credit, self.gain = 0.0, 0.0  # sends to cold members, and what the answer of a warm one earns
+        self.refilled_at = 0
         self.peak = 0.0  # of the requests in flight
         self.dirty = False  # whether the subset has to be chosen anew
         self.adopt(settings)
@@ -79,6 +80,8 @@
 
     def refill(self, now: int) -> None:
         self.dirty = False
+        cycles = max(0.0, min(1.0, (now - self.refilled_at) / (CYCLE * self.aim)))  # since the last time
+        self.refilled_at = now
         size = self.size()
         for side in (0, 1):
             subset: list[Member] = []
@@ -99,7 +102,7 @@
             self.credit = 0.0  # nothing saved up: a bulk restart would get it all at once
         elif not warm:  # from all sidecars together a request each in two mean aims, should none answer
             fair = sum(map(len, self.order)) / self.settings.instances
-            self.credit = min(1.0, self.credit + fair * CYCLE / 2)
+            self.credit = min(1.0, self.credit + fair * CYCLE / 2 * cycles)
 
     def warmth(self, member: Member, now: int) -> float:
         """The share of its work that an endpoint can do at least, by the time since its start."""
--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,127 @@
+"""What all processes together send to one cold server, by a fed clock, against the load at which it falls."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Sequence
+from math import sqrt
+
+import pytest
+
+from sprucenotch import api
+from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
+
+FALL_MULTIPLE, FALL_WINDOW = 3.0, 3 * SECOND
+CAPACITY = 3.0  # requests a second that a warm server can do: its load here, so all of it is in use
+COLD_FROM, COLD_FOR = 0.17, 24 * SECOND
+ANSWER = 50 * MS
+TICK = 250 * MS  # a cycle of the decisions, for the aim of 0.5 s
+
+
+def most(warmth: float) -> float:
+    """Requests in the window beyond which a cold server falls."""
+    allowed = FALL_MULTIPLE * warmth * CAPACITY * FALL_WINDOW / SECOND
+    return allowed + 2 * sqrt(allowed) + 2
+
+
+class Fleet:
+    """Balancers under one clock, their requests in turn, each send answered after a fixed time."""
+
+    def __init__(self, processes: int, **changes: object) -> None:
+        self.now = START
+        self.random = random.Random(7)
+        cold = dict(cold_from=COLD_FROM, cold_for=COLD_FOR, instances=processes)
+        self.benches = [
+            Bench(settings(request_class(), **(cold | changes | {"instance": i})), 0, seed=i)
+            for i in range(processes)
+        ]
+        self.sends: list[tuple[int, bytes]] = []
+        self.due: list[tuple[int, int, int, api.Send | None]] = []
+        self.number = 0
+        for i in range(processes):
+            self.plan(self.random.randrange(TICK), i, None)
+
+    def plan(self, delay: int, process: int, send: api.Send | None) -> None:
+        """An answer, or without a send the timer of a process."""
+        self.number += 1
+        heapq.heappush(self.due, (self.now + delay, self.number, process, send))
+
+    def list_of(self, *entries: api.Endpoint, kind: int = api.ListKind.FULL) -> None:
+        for bench in self.benches:
+            bench.now = self.now
+            bench.list_of(*entries, kind=kind)
+
+    def pass_to(self, until: int) -> None:
+        while self.due and self.due[0][0] <= until:
+            self.now, _, process, send = heapq.heappop(self.due)
+            bench = self.benches[process]
+            bench.now = self.now
+            if send is None:
+                bench.give(api.Timer(0))
+                self.plan(TICK, process, None)
+            else:
+                bench.answer(send, took=ANSWER)
+        self.now = until
+
+    def load(self, seconds: float, rate: float) -> None:
+        """Requests at random times, so many a second over all processes, each to a random one."""
+        end = self.now + int(seconds * SECOND)
+        while (at := self.now + int(self.random.expovariate(rate) * SECOND)) < end:
+            self.pass_to(at)
+            process = self.random.randrange(len(self.benches))
+            bench = self.benches[process]
+            bench.now = at
+            if isinstance(send := bench.ask(), api.Send):
+                self.sends.append((at, send.endpoint))
+                self.plan(ANSWER, process, send)
+        self.pass_to(end)
+
+    def sent(self, server: int) -> list[int]:
+        return [at for at, to in self.sends if to == server.to_bytes(6, "little")]
+
+
+def within_bound(sent: Sequence[int], started: int) -> bool:
+    """Whether no window that ends with a send held more than a server of that age then stands."""
+    for place, end in enumerate(sent):
+        in_window = sum(at > end - FALL_WINDOW for at in sent[: place + 1])
+        age = max(0, end - FALL_WINDOW - started)  # at the window's start, so the least in it
+        if in_window > most(COLD_FROM + (1 - COLD_FROM) * min(1.0, age / COLD_FOR)):
+            return False
+    return True
+
+
+@pytest.mark.parametrize(("processes", "servers"), [(2, 6), (20, 8), (30, 12), (30, 4), (230, 200)])
+def test_a_cold_server_gets_less_from_all_processes_than_that_at_which_it_falls(
+    processes: int, servers: int
+) -> None:
+    """Of P processes those S that have it in their subset earn, for each answer of a warm member, its warmth
+    over the warm members as credit, and spend one for a send. In a window T the sum is at most
+    `warmth * (answers of a warm server in T) + S`, and S only if all stood just below a whole credit."""
+    fleet = Fleet(processes)
+    fleet.list_of(*(endpoint(n) for n in range(servers)))
+    fleet.load(4, servers * CAPACITY)
+    started = fleet.now
+    fleet.list_of(*(endpoint(n, started=0 if n else started) for n in range(servers)))
+    before = len(fleet.sends)
+    fleet.load(12, servers * CAPACITY)
+    sent = [at for at in fleet.sent(0) if at >= started]
+    assert len(fleet.sends) - before > 10 * servers * CAPACITY  # the load was there, and was let pass
+    assert within_bound(sent, started), (len(sent), sent[:20])
+
+
+def test_lists_that_come_often_earn_cold_servers_nothing() -> None:
+    """All have restarted. Each change of the list has the subset chosen anew, but the trickle is one by time:
+    `T / (2 mean aims)` a server and window, over all processes, and what the rounding of S credits adds."""
+    processes, servers = 4, 8
+    fleet = Fleet(processes)
+    started = fleet.now
+    listed = [endpoint(n, started=started) for n in range(servers)]
+    fleet.list_of(*listed)
+    for _ in range(120):
+        fleet.list_of(listed[0], kind=api.ListKind.DELTA)
+        fleet.load(0.05, 8 * servers * CAPACITY)  # clients that are refused come again
+    seconds = 120 * 0.05
+    assert 0 < len(fleet.sends) <= servers * seconds + processes
+    for n in range(servers):
+        assert within_bound(fleet.sent(n), started), (n, len(fleet.sent(n)))
