Cold servers: credit earned for those a request may not reach is not spent on another

Engines.refill and answered earn credit for the cold members of both sides of the subset. Engines.cold drew from this zone's alone for a request that is not worth a crossing, so a cold server here got the parts of those across too, and at once what all processes had saved up for want of any to spend it on: S processes that have it in their subset, each one request, with no bound by its warmth.

The draw is over the cold ones of both sides, by their warmth. Where it falls across and the request may not go there, that part of the credit is given up. Nothing is sent more than before.

--- a/sprucenotch/policy/engines.py
+++ b/sprucenotch/policy/engines.py
@@ -147,14 +147,17 @@
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
 
         All sidecars together then send it no more than that part of what a server can do; a part of what is
-        sent would be too much once many restart. Only first attempts: others come in bursts.
+        sent would be too much once many restart. Only first attempts: others come in bursts. Credit is
+        earned for all cold ones, here and across: the part of one where the request may not go is given up,
+        else the others would get it too, and all at once where it was saved up.
         """
-        cold = [m for subset in self.subset[: 1 + far] for m in subset if self.warmth(m, now) < 1]
+        cold = [m for subset in self.subset for m in subset if self.warmth(m, now) < 1]
         if not cold or self.credit < 1:
             return None
         [member] = self.choices(cold, weights=[self.warmth(m, now) for m in cold])
         self.credit -= not member.inflight
-        return None if member.inflight else member
+        allowed = far or member.zone == self.settings.zone
+        return member if allowed and not member.inflight else None
 
     def answered(self, member: Member, now: int) -> None:
         """It served a request."""
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -110,6 +110,21 @@
     assert within_bound(sent, started), (len(sent), sent[:20])
 
 
+def test_credit_for_cold_servers_that_a_request_may_not_reach_is_not_spent_on_another() -> None:
+    """A zone is back cold, and crossing is worth its price to no request: then a server here restarts."""
+    fleet = Fleet(30, zones=2, cross_price=5.0)
+    first = [endpoint(n) for n in range(6)]
+    across = [endpoint(n, zone=1, started=fleet.now) for n in range(6, 12)]
+    fleet.list_of(*first, *across)
+    fleet.load(12, 6 * CAPACITY)
+    started = fleet.now
+    fleet.list_of(endpoint(0, started=started), kind=api.ListKind.DELTA)
+    fleet.load(6, 6 * CAPACITY)
+    sent = [at for at in fleet.sent(0) if at >= started]
+    assert not any(fleet.sent(n) for n in range(6, 12))
+    assert within_bound(sent, started), [(at - started) // MS for at in sent]
+
+
 def test_lists_that_come_often_earn_cold_servers_nothing() -> None:
     """All have restarted. Each change of the list has the subset chosen anew, but the trickle is one by time:
     `T / (2 mean aims)` a server and window, over all processes, and what the rounding of S credits adds."""
