Descriptors: keep back 32 for the program's own use, as it was seen to hold 26 of the 16

Where idle clients fill the descriptors while discovery is down, its calls need what is kept back. config shared the limit out as clients + upstream + callers + OWN_SOCKETS, with 16 for the last. A process with all that its settings may ask for, and an agent that hangs, held 26 (trial); one without state, where discovery is asked, 17. At a limit of 256 the sum of the shares was exceeded (171 of 170) with each of them full, and two processes side by side would come to 255 and what each has over its 16. Alone, the half left for a successor covered it.

OWN_SOCKETS is 32, with what it counts beside it; the engines' share falls by 16: from 61 to 45 of 256, from 293 to 277 of 1,024.

--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -20,7 +20,11 @@
 SECOND = 1_000_000_000
 SOCKETS_MOST = 1024  # the least that a deployment allows, so never counted on for more
 MEMORY_LEAST = 32  # megabytes: the least that a deployment gives
-OWN_SOCKETS = 16  # the listeners, the loop, discovery, the standard streams and the like
+# What the program holds for itself: the standard streams (3), the loop (10), the listeners and the peers'
+# socket (3); calls to discovery: the watch, a fetch, discovery.OVERDUE_MOST left open, one that closes (7);
+# the state's lock and journal, and their replacement (5); and for a moment a file that is read, and one more
+# client and caller than the most, until the close of another takes effect (3). That makes 31.
+OWN_SOCKETS = 32
 BODIES_LEAST = 1_000_000  # below this nothing long passes at all
 # Keys of the settings that a deployment may leave out at any time.
 MAY_BE_ABSENT = frozenset(("AimStretch", "PassesDeadline", "WarmKeys"))
