Clients: at the most of them, one whose first request lies unread is not closed

Frontend.opened makes room by closing the oldest connection that is idle, and `idle` knows only what has been read. A loop that is late finds the connection above the most before it reads what has come on a new one, and closed that: its client gets no answer, and a new connection is not tried again.

A connection that has not been used and has something unread in its socket is passed over, as `left` does already for used ones; where there is no other, the one above the most is closed.

tests/test_node.py forces the order; without the change its client gets a reset.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -74,6 +74,11 @@
         """Whether the client is done with it for now: it has been used, and nothing lies unread in it."""
         return not self._fresh and self.idle and not self._unread()
 
+    @property
+    def asked(self) -> bool:
+        """Whether its first request lies unread in the kernel, or a part of it."""
+        return self._fresh and self._unread()
+
     @property
     def owed(self) -> bool:
         return any(exchange.id or exchange.answer for exchange in self._exchanges)
@@ -534,10 +539,11 @@
     def opened(self, connection: ClientConnection) -> None:
         if len(self._connections) >= self._most:
             # Descriptors run out: one that its client is done with makes room, else one that is idle, or the
-            # oldest that never finishes its request. What crosses the close of the first is sent again.
+            # oldest that never finishes its request. What crosses the close of the first is sent again. One
+            # whose first request lies unread in the kernel would lose it: it goes last.
             done = (c for c in self._connections if c.left)
-            idle = (c for c in self._connections if c.idle)
-            spare = (c for c in self._connections if not c.owed)
+            idle = (c for c in self._connections if c.idle and not c.asked)
+            spare = (c for c in self._connections if not c.owed and not c.asked)
             next(itertools.chain(done, idle, spare, (connection,))).close()
         self._connections[connection] = None
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import math
+import os
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -16,7 +17,7 @@
 from sprucenotch.api import Outcome
 from sprucenotch.node import config, discovery
 from sprucenotch.node.config import SECOND
-from sprucenotch.node.frontend import PIPELINE_MOST
+from sprucenotch.node.frontend import PIPELINE_MOST, ClientConnection
 from sprucenotch.node.peers import Peers
 from sprucenotch.node.upstream import SURPLUS_IDLE, Connection, Upstream, parse_report
 from tests.sidecar import (
@@ -522,6 +523,28 @@
     run(test())
 
 
+def test_at_the_most_clients_one_whose_first_request_lies_unread_is_not_closed() -> None:
+    """A loop that is late finds the connection above the most before it has read what came on the oldest."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            frontend = node.frontend
+            frontend._most = 2
+            asking = await node.client()
+            idle = await node.client()
+            while len(frontend._connections) < 2:
+                await asyncio.sleep(0)
+            # The request is in the kernel by now; the loop reads it in its next turn, after this.
+            os.write(asking.writer.get_extra_info("socket").fileno(), request())
+            third = ClientConnection(frontend)
+            frontend.opened(third)
+            assert await idle.ended()
+            assert (await asking.answer())[0] == 200
+            frontend.closed(third)
+
+    run(test())
+
+
 # ---- discovery
 
 
