Clients: the most holds where several connections come in one turn, and at the close

Frontend.opened made room by closing the oldest fitting connection. One that it had closed before stays in its table until the loop has ended it, was found again, and closed twice: of several that came in one turn all but one were added with no room made, and from then on each new one closed just one, so that the number stayed above the most. serve.stop_accepting took all that waited before the frontend saw the first, BACKLOG descriptors at most, where a sixth of the limit may be free; what it had no descriptor for was reset.

Connections that close are passed over; one that lingers after its last answer and has to make room is aborted, since a close would wait for a client that does not read. stop_accepting hands each connection to the frontend before it takes the next.

tests/test_orders.py: 41 wait, 4 allowed.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -365,6 +365,18 @@
         if self._transport is not None:
             self._transport.close()
 
+    @property
+    def closing(self) -> bool:
+        return self._transport is not None and self._transport.is_closing()
+
+    def make_room(self) -> None:
+        """Close it now. One that lingers after its last answer may hold some of it that nobody reads: a close
+        would wait for that."""
+        if self._over and self._transport is not None:
+            self._transport.abort()
+        else:
+            self.close()
+
     # ---- httptools' callbacks
 
     def on_message_begin(self) -> None:
@@ -537,14 +549,17 @@
         self.rules = HeadRules(config.settings)
 
     def opened(self, connection: ClientConnection) -> None:
+        # One that was closed before is still there until the loop has ended it: it makes no room twice.
         if len(self._connections) >= self._most:
-            # Descriptors run out: one that its client is done with makes room, else one that is idle, or the
-            # oldest that never finishes its request. What crosses the close of the first is sent again. One
-            # whose first request lies unread in the kernel would lose it: it goes last.
-            done = (c for c in self._connections if c.left)
-            idle = (c for c in self._connections if c.idle and not c.asked)
-            spare = (c for c in self._connections if not c.owed and not c.asked)
-            next(itertools.chain(done, idle, spare, (connection,))).close()
+            staying = [c for c in self._connections if not c.closing]
+            if len(staying) >= self._most:
+                # Descriptors run out: one that its client is done with makes room, else one that is idle, or
+                # the oldest that never finishes its request. What crosses the close of the first is sent
+                # again. One whose first request lies unread in the kernel would lose it: it is passed over.
+                done = (c for c in staying if c.left)
+                idle = (c for c in staying if c.idle and not c.asked)
+                spare = (c for c in staying if not c.owed and not c.asked)
+                next(itertools.chain(done, idle, spare, (connection,))).make_room()
         self._connections[connection] = None
 
     def closed(self, connection: ClientConnection) -> None:
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -154,14 +154,15 @@
 ) -> None:
     """Close the listener with its queue empty: the kernel resets what still waits there, though its client
     may have written a request by then. The loop takes one connection in a turn, and may have stood still
-    over the end of the time for new ones, so all that wait are taken here: BACKLOG at most, as may wait."""
-    waiting: list[socket.socket] = []
+    over the end of the time for new ones, so all that wait are taken here: BACKLOG at most, as may wait.
+    Each is the frontend's before the next is taken, so that one above the most clients has room made for it
+    first, and the descriptors that are kept for other uses stay free."""
+    loop = asyncio.get_running_loop()
     with contextlib.suppress(OSError):  # none is left, or no descriptor for one more
-        while len(waiting) < BACKLOG:
-            waiting.append(listener.accept()[0])
+        for _ in range(BACKLOG):
+            taken, _ = listener.accept()
+            await loop.connect_accepted_socket(client, taken)
     server.close()
-    loop = asyncio.get_running_loop()
-    await asyncio.gather(*(loop.connect_accepted_socket(client, taken) for taken in waiting))
 
 
 def reconfigure(taken: list[Config], host: Host, frontend: Frontend, discovery: Discovery) -> None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 
 import pytest
@@ -251,3 +252,40 @@
                 socket.create_connection(address)
 
     run(test())
+
+
+def test_of_more_that_wait_than_are_allowed_each_has_room_made_for_it_in_turn() -> None:
+    """Idle clients fill the queue: what is kept of the descriptors for other uses stays free, and the most
+    holds again at once."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            loop = asyncio.get_running_loop()
+            frontend = node.frontend
+            frontend._most, opened = 4, frontend.opened
+            held: list[int] = []
+
+            def counted(connection: ClientConnection) -> None:
+                held.append(len(os.listdir("/proc/self/fd")))
+                opened(connection)
+
+            frontend.opened = counted  # type: ignore[method-assign]
+            listener = shared_listener(("127.0.0.1", 0))
+
+            def client() -> ClientConnection:
+                return ClientConnection(frontend)
+
+            server = await loop.create_server(client, sock=listener, backlog=64)
+            crowd = [socket.create_connection(listener.getsockname()) for _ in range(40)]
+            asking = socket.create_connection(listener.getsockname())
+            asking.sendall(request())
+            asking.setblocking(False)
+            before = len(os.listdir("/proc/self/fd"))
+            await stop_accepting(server, listener, client)
+            assert (await loop.sock_recv(asking, 1000)).startswith(b"HTTP/1.1 200")
+            assert len(held) == 41 and max(held) <= before + 2 * frontend._most
+            assert len(frontend._connections) <= frontend._most
+            for one in (asking, *crowd):
+                one.close()
+
+    run(test())
