--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -338,6 +338,22 @@
     run(test())
 
 
+def test_the_rest_of_the_last_of_many_requests_in_one_packet_may_come_after_the_others_are_answered() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            number = 2 * PIPELINE_MOST
+            last = request("post", body=b"in two pieces")
+            client.writer.write(request() * number + last[:-5])
+            for _ in range(number):
+                assert (await client.answer())[0] == 200
+            client.writer.write(last[-5:] + request())
+            assert (await client.answer())[2] == b"in two pieces"
+            assert (await client.answer())[0] == 200 and len(served.seen) == number + 2
+
+    run(test())
+
+
 def test_up_tells_whether_any_endpoint_is_known() -> None:
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
