Telemetry: every listed engine is counted by itself, without a cap of 512

`ENGINES_MOST = 512` in node/telemetry.py put the attempts at the 513th engine and all later ones into `other`, so that `sprucenotch_attempts_total` did not name them. Change: `attempt_ended` counts an engine by itself while the list that `keep_engines` was given has it; one that is not listed counts in `other` at once. So the figures are bounded by the list, which discovery's answer bounds. The test of the bound of 512 is replaced: it asked that the table has an upper bound and loses no attempt; the new one asks both of a list of 2,048 and that each listed engine is by itself. Seen to fail on the code before.

--- a/sprucenotch/node/telemetry.py
+++ b/sprucenotch/node/telemetry.py
@@ -13,7 +13,6 @@
 # Bounds of the latency buckets, in aims: whether answers come in time, and how near they are to missing it.
 AIMS = (1 / 16, 1 / 8, 1 / 4, 1 / 2, 3 / 4, 1, 1.5, 2)
 OUTCOMES = tuple(outcome.name.lower() for outcome in Outcome)  # by number, as they are told
-ENGINES_MOST = 512  # counted one by one; what is beyond goes into one
 
 
 class Histogram:
@@ -42,8 +41,11 @@
         self.in_progress = 0
         self.events: Counter[str] = Counter()  # what log and metrics tell, such as outcomes
         self.latency: dict[str, Histogram] = {}  # of served requests, by class, from whole to answered
-        self.by_engine: dict[EndpointId, list[int]] = {}  # attempts by outcome
-        self.other_engines = [0] * len(Outcome)  # of those that left the list, or are too many
+        # Attempts by outcome: of each listed engine that had one, and together of those that left the list. A
+        # list is bounded by discovery's answer, so that counting has no bound of its own.
+        self.by_engine: dict[EndpointId, list[int]] = {}
+        self.other_engines = [0] * len(Outcome)
+        self._listed: Container[EndpointId] = ()
         self._told: Counter[str] = Counter()
         self._ok_took = self._ok = 0  # since the last status
 
@@ -59,17 +61,18 @@
     def attempt_ended(self, engine: EndpointId, outcome: int, took: int) -> None:
         """Count an attempt that is over, of so many nanoseconds."""
         counts = self.by_engine.get(engine)
+        if counts is None and engine in self._listed:
+            counts = self.by_engine[engine] = [0] * len(Outcome)
         if counts is None:
             counts = self.other_engines
-            if len(self.by_engine) < ENGINES_MOST:
-                counts = self.by_engine[engine] = [0] * len(Outcome)
         counts[outcome] += 1
         if outcome == Outcome.OK:
             self._ok += 1
             self._ok_took += took
 
     def keep_engines(self, listed: Container[EndpointId]) -> None:
-        """Count those that are not listed any more together."""
+        """Count engines one by one while `listed` has them, and those that it has no more together."""
+        self._listed = listed
         for engine in [engine for engine in self.by_engine if engine not in listed]:
             for outcome, count in enumerate(self.by_engine.pop(engine)):
                 self.other_engines[outcome] += count
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -12,7 +12,7 @@
 
 from sprucenotch import api, settings
 from sprucenotch.node import log, metrics
-from sprucenotch.node.telemetry import ENGINES_MOST, Histogram, Telemetry
+from sprucenotch.node.telemetry import Histogram, Telemetry
 from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar, status
 
 
@@ -65,13 +65,18 @@
     assert (histogram.counts, histogram.sum) == ([1, 2, 1], 62)
 
 
-def test_engines_are_counted_one_by_one_up_to_a_bound_and_none_is_lost() -> None:
-    told = Telemetry()
-    for number in range(ENGINES_MOST + 3):
-        told.attempt_ended(number.to_bytes(8, "big"), api.Outcome.OK, 5)
-    told.keep_engines({(0).to_bytes(8, "big")})
+def test_every_listed_engine_is_counted_by_itself_and_no_attempt_is_lost() -> None:
+    told, listed = Telemetry(), {number.to_bytes(8, "big") for number in range(2048)}
+    first, unlisted = (0).to_bytes(8, "big"), (2048).to_bytes(8, "big")
+    told.keep_engines(listed)
+    for engine in listed:
+        told.attempt_ended(engine, api.Outcome.OK, 5)
+    assert told.by_engine.keys() == listed and not sum(told.other_engines)
+    told.attempt_ended(unlisted, api.Outcome.OK, 5)  # so that what is counted grows no further than the list
+    assert told.by_engine.keys() == listed and sum(told.other_engines) == 1
+    told.keep_engines({first})
     counted = sum(map(sum, told.by_engine.values())) + sum(told.other_engines)
-    assert (len(told.by_engine), counted, told.mean_ok()) == (1, ENGINES_MOST + 3, 5)
+    assert (len(told.by_engine), counted, told.mean_ok()) == (1, 2049, 5)
 
 
 def told_by(formatter: logging.Formatter, caplog: pytest.LogCaptureFixture) -> str:
