Rig: fleets of any size; the machine's memory and descriptors are a check of their own

Need: no cap below 1,024 on lists of processes or servers. Lines at fault: `SIDECARS_MOST, ENGINES_MOST = 30, 60` in rig/plan.py, and `max=8`, `max=30` of the demo's `--sidecars` and `--engines` in cli/demo.py. They stood in for what the machine holds (rig/plan.py: "so that no plan can ask for more than a machine holds"). Change: both are whole numbers of at least 1 (demo: 3 engines). `rig/capacity.py` judges, before the first process of a stage starts, the memory of all child processes against three quarters of MemAvailable, and the rig's own listeners, relays and peer sockets against its limit of descriptors; a run that does not fit ends with one line that says what is wanting. `plan.links` no longer matches the targets anew for each source, which took the square of the fleet. Seen to fail: four tests of tests/test_capacity.py on the code before; the one that no process is started also with the check alone taken out.

--- a/sprucenotch/cli/demo.py
+++ b/sprucenotch/cli/demo.py
@@ -37,8 +37,8 @@
     trouble: Annotated[
         str, typer.Option(help=f"In the middle third: {', '.join(TROUBLES)}. Also by its key at any time.")
     ] = "",
-    sidecars: Annotated[int, typer.Option(min=1, max=8)] = 2,
-    engines: Annotated[int, typer.Option(min=3, max=30)] = 6,
+    sidecars: Annotated[int, typer.Option(min=1)] = 2,
+    engines: Annotated[int, typer.Option(min=3)] = 6,
     load: Annotated[float, typer.Option(help="Of what the engines can do.", min=0.05, max=3)] = 0.6,
     seed: Annotated[int, typer.Option(help="Of arrivals and work.")] = 1,
     as_json: AsJson = False,
--- a/sprucenotch/rig/plan.py
+++ b/sprucenotch/rig/plan.py
@@ -1,7 +1,7 @@
 """What a run does: processes, traffic, and faults at times or drawn by seed. TOML, with units.
 
-Everything wrong in a file is told at once, a line each, as of a configuration file. Sizes are bounded
-here, so that no plan can ask for more than a machine holds.
+Everything wrong in a file is told at once, a line each, as of a configuration file. The numbers of sidecars
+and engines have no bound here: whether the machine holds them is judged where they are built (`capacity.py`).
 """
 
 from __future__ import annotations
@@ -19,7 +19,6 @@
 from sprucenotch.settings import Problem, SettingsError, Share, Span, Time
 
 SECOND = 1_000_000_000
-SIDECARS_MOST, ENGINES_MOST = 30, 60
 LENGTH_MOST = 3600 * SECOND
 REQUESTS_MOST = 500_000  # of a run: its history is held in memory
 
@@ -50,8 +49,8 @@
 
 
 class Fleet(Struct, frozen=True, kw_only=True):
-    sidecars: Annotated[int, Meta(ge=1, le=SIDECARS_MOST, description=f"1 to {SIDECARS_MOST}")] = 2
-    engines: Annotated[int, Meta(ge=1, le=ENGINES_MOST, description=f"1 to {ENGINES_MOST}")] = 6
+    sidecars: Count = 2
+    engines: Count = 6
     zones: Annotated[tuple[str, ...], Meta(min_length=1, description="a list of names")] = ("north", "south")
     slots: Count = 1
     queue: Annotated[int, Meta(ge=0, description="a whole number of at least 0")] = 6
@@ -267,10 +266,11 @@
 
 def links(fault: OnLinks, fleet: Fleet) -> tuple[tuple[str, str], ...]:
     """The links that a fault names, of those that there are."""
+    targets = chosen(fault.target, fleet)
     return tuple(
         (source, target)
         for source in chosen(fault.source, fleet)
-        for target in chosen(fault.target, fleet)
+        for target in targets
         if _joined(source, target)
     )
 
--- a/sprucenotch/rig/stage.py
+++ b/sprucenotch/rig/stage.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from sprucenotch.rig import deployment
+from sprucenotch.rig import capacity, deployment
 from sprucenotch.rig.discovery import Discovery, Entry
 from sprucenotch.rig.engine import Cold, Work
 from sprucenotch.rig.faults import OnProcesses, Pause, SlowCpu
@@ -64,9 +64,11 @@
         self._temporary: tempfile.TemporaryDirectory[str] | None = None
         hit = [name for kind in (Pause, SlowCpu) for name in self._hit(kind)]
         self._engines_apart = plan.fleet.engines_apart or any(n.startswith("engine") for n in hit)
-        apart = plan.fleet.discovery_apart or "discovery" in hit
+        self._discovery_apart = plan.fleet.discovery_apart or "discovery" in hit
         self.discovery: Discovery | RemoteDiscovery = (
-            RemoteDiscovery(self.witness, self.origin) if apart else Discovery(self.witness, self.origin)
+            RemoteDiscovery(self.witness, self.origin)
+            if self._discovery_apart
+            else Discovery(self.witness, self.origin)
         )
 
     def _hit(self, kind: type[OnProcesses]) -> list[str]:
@@ -95,6 +97,8 @@
 
     async def _build(self) -> None:
         allow_descriptors()
+        limit = self.plan.fleet.memory * capacity.MEGABYTE
+        capacity.check(self._parts(), limit, capacity.this_machine())
         if self._folder is None:
             self._temporary = tempfile.TemporaryDirectory(prefix="rig-")
             self._folder = Path(self._temporary.name)
@@ -127,6 +131,15 @@
             if isinstance(outcome, BaseException):
                 raise outcome
 
+    def _parts(self) -> capacity.Parts:
+        """What the machine has to hold of this plan."""
+        fleet, links = self.plan.fleet, self.wiring.links
+        stand_ins = fleet.engines * self._engines_apart + self._discovery_apart
+        relays = sum(source == "client" or not target.startswith("sidecar") for source, target in links)
+        return capacity.Parts(
+            fleet.sidecars, capacity.successors(self.plan), stand_ins, fleet.engines, relays, fleet.peers
+        )
+
     def _engine(self, place: str) -> AnyEngine:
         fleet = self.plan.fleet
         generation = self._generation.get(place, 0)
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,83 @@
+"""Plans of any size can be told; whether a machine holds one is judged before its first process starts."""
+
+from __future__ import annotations
+
+import pytest
+from typer.testing import CliRunner
+
+from sprucenotch.cli.main import app
+from sprucenotch.rig import capacity, plan
+from sprucenotch.rig.capacity import MEGABYTE, CapacityError, Machine, Parts
+from sprucenotch.rig.stage import Stage
+from tests.sidecar import run
+
+AMPLE = Machine(memory=10**15, descriptors=10**9)
+LARGE = """
+title = "a large fleet"
+length = "3s"
+fleet = { sidecars = 2048, engines = 4096, engines_apart = true, peers = true }
+load = { share = 0.01 }
+step = [
+    { do = "cut", source = "sidecar-0", target = "engine-*", at = "0s", lasts = "1s" },
+    { do = "restart", how = "upgrade", on = "sidecar-1?", at = "1s" },
+]
+"""
+
+
+def test_a_plan_names_as_many_sidecars_and_engines_as_it_likes() -> None:
+    told = plan.decode(LARGE.encode())
+    assert (told.fleet.sidecars, told.fleet.engines) == (2048, 4096)
+    assert len(plan.links(told.steps[0].fault, told.fleet)) == 4096  # type: ignore[arg-type]
+
+
+def test_memory_and_descriptors_are_those_of_all_processes_and_sockets() -> None:
+    stage = Stage(plan.decode(LARGE.encode()), 1)
+    parts = stage._parts()
+    assert parts == Parts(2048, 10, 4096, 4096, 4096, True)
+    sidecars, engines = (2048 + 10) * 64 * MEGABYTE, 4096 * capacity.STAND_IN_MEMORY
+    assert capacity.memory_needed(parts, 64 * MEGABYTE) == sidecars + engines
+    assert capacity.memory_needed(parts, 1) == sidecars // 2 + engines  # none runs in less than 32 MB
+    assert capacity.descriptors_needed(parts) == 4 * 2048 + 4096 + 4096 + 2048**2
+
+
+@pytest.mark.parametrize(
+    ("machine", "wanting"),
+    [
+        (AMPLE._replace(memory=640 * MEGABYTE - 1), "640 MB of memory, where 639 MB are free"),
+        (AMPLE._replace(descriptors=47), "48 descriptors, where 47 are granted"),
+        (AMPLE._replace(memory=640 * MEGABYTE, descriptors=48), ""),
+        (AMPLE._replace(descriptors=-1), ""),  # as the kernel says that it sets none
+    ],
+)
+def test_a_plan_is_turned_down_from_the_first_byte_and_descriptor_that_are_wanting(
+    machine: Machine, wanting: str
+) -> None:
+    parts = Parts(sidecars=10, successors=0, stand_ins=0, engines=8, relays=0, peers=False)
+    if not wanting:
+        capacity.check(parts, 64 * MEGABYTE, machine)
+        return
+    with pytest.raises(CapacityError, match=wanting):
+        capacity.check(parts, 64 * MEGABYTE, machine)
+
+
+def test_a_machine_that_is_too_small_starts_no_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(capacity, "this_machine", lambda: AMPLE._replace(memory=10**9))
+    monkeypatch.setattr("subprocess.Popen.__init__", lambda *_, **__: pytest.fail("a process was started"))
+
+    async def test() -> None:
+        with pytest.raises(CapacityError, match="of memory"):
+            async with Stage(plan.decode(LARGE.encode()), 1):
+                pass
+
+    run(test())
+
+
+def test_the_demo_takes_any_number_and_says_what_the_machine_lacks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(capacity, "this_machine", lambda: AMPLE._replace(memory=10**9))
+    said = CliRunner().invoke(app, ["demo", "--sidecars", "1024", "--engines", "1024"])
+    assert "needs 65536 MB of memory, where 1000 MB are free for it" in said.output
+
+
+def test_this_machine_has_memory_and_descriptors() -> None:
+    memory, descriptors = capacity.this_machine()
+    assert memory > 0 and (descriptors > 0 or descriptors == -1)
