Rig: an engine or discovery apart is not held to a sidecar's 1,024 descriptors

Cause: `end_with_parent` in rig/process.py set RLIMIT_NOFILE of every child to the 1,024 that a deployment gives a sidecar. An engine in a process of its own holds connections of each sidecar, and discovery apart a listener and a connection for each: with two a sidecar, fewer than 512 sidecars fitted.

--- a/sprucenotch/rig/remote.py
+++ b/sprucenotch/rig/remote.py
@@ -32,7 +32,8 @@
     async def spawn(self, first: str) -> None:
         self._first = first
         command = (sys.executable, "-m", "sprucenotch.rig.standin", first)
-        self.child = Child(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        # Each sidecar holds connections to it, and discovery listens for each by itself.
+        self.child = Child(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, descriptors=None)
         stream = asyncio.StreamReader(limit=LINE_MOST)
         loop = asyncio.get_running_loop()
         await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(stream), self.child.process.stdout)
