Config: the descriptors told are taken as told, not cut to 1,024

Lists of both are bounded by what the deployment and the kernel grant alone. A file that tells no number counts as 1,024 as before.

--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -18,7 +18,7 @@
 Address: TypeAlias = tuple[str, int]
 
 SECOND = 1_000_000_000
-SOCKETS_MOST = 1024  # the least that a deployment allows, so never counted on for more
+SOCKETS_UNTOLD = 1024  # descriptors where the file tells none: the most of a deployment's page on scored days
 MEMORY_LEAST = 32  # megabytes: the least that a deployment gives
 # What the program holds for itself: the standard streams (3), the loop (10), the listeners and the peers'
 # socket (3); calls to discovery: the watch, a fetch, discovery.OVERDUE_MOST left open, one that closes (7);
@@ -279,8 +279,10 @@
 
 
 def _sockets(told: Any) -> int:
-    most = _amount(told) or SOCKETS_MOST
+    """What the deployment allows, within what the kernel grants: no more, so that a list of clients or
+    servers is bounded by these two alone."""
+    most = _amount(told) or SOCKETS_UNTOLD
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != resource.RLIM_INFINITY:
         most = min(most, soft)
-    return min(most, SOCKETS_MOST)
+    return most
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import resource
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -249,8 +250,34 @@
             mgmt({}, mgmt=bad)
 
 
+@pytest.mark.parametrize(
+    ("told", "granted", "counted"),
+    [
+        (4096, 8192, 4096),
+        (4096, 2048, 2048),
+        (4096, resource.RLIM_INFINITY, 4096),
+        (256, 8192, 256),
+        (None, 8192, 1024),
+        (-1, 512, 512),
+    ],
+)
+def test_descriptors_are_those_told_within_what_the_kernel_grants(
+    told: int | None, granted: int, counted: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (granted, granted))
+    assert config.parse(configuration(limits={"sockets": told})).sockets == counted
+
+
+def test_a_deployment_that_gives_4096_descriptors_has_a_connection_to_each_of_1024_servers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (4096, 4096))
+    told = config.parse(configuration(limits={"sockets": 4096}))
+    assert told.upstream_most >= 1024 and told.clients_most >= 1024
+
+
 def test_descriptors_suffice_for_two_processes_side_by_side() -> None:
-    for sockets in (256, 384, 1024):
+    for sockets in (256, 384, 1024, 4096):
         told = config.parse(configuration(limits={"sockets": sockets}) | {"settings": SETTINGS})
         apart = told.upstream_most + told.callers_most + config.OWN_SOCKETS
         assert told.clients_most + 2 * apart <= told.sockets
