Tests: calls to discovery by their own timer; the agent's first call waits for nothing

Seen: test_recovery failed (a start while discovery is down had no list handed over), and test_choice waited for calls that the cycle no longer makes.

Lines at fault: Discovery._call_agent held the first call for 0.25 s, where it had asked what is new by now, so a process was told, and its list kept, that much later. The tests of the decisions fed them the cycle's timer only; they go by the timer of the calls now, and the spread of first calls is asked to be over 1 s wide. test_customers named its two sites by their number; it names them, and compares the new ones too.

Measured: test_recovery fails without the change of _call_agent, and passes with it; test_choice, test_customers pass.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -150,8 +150,8 @@
             self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
 
     async def _call_agent(self) -> HostList:
-        """A call to the agent, which waits for something new."""
-        query = self._query(HOLD_PUSHED)
+        """A call to the agent: the first asks what is new by now, the others wait for something new."""
+        query = self._query(0.0 if self._answered is None else HOLD_PUSHED)
         return await self._call_beside(query, HOLD_PUSHED + HOLD_GRACE_PUSHED, AGENT_TIMEOUT)
 
     async def _call_service(self) -> HostList:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,7 +40,8 @@
         self.balancer = Balancer(config, seed)
         self.next_id = 0
         self.config = config
-        self.actions: list[api.Action] = self.give(api.Attached())
+        self.actions: list[api.Action] = []
+        self.attached = self.give(api.Attached())
         self.list_of(*(endpoint(n + 1) for n in range(servers)))
 
     def give(self, event: api.Event) -> list[api.Action]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,6 +9,7 @@
 
 from sprucenotch import api
 from sprucenotch.policy import engines
+from sprucenotch.policy.balance import CALL
 from sprucenotch.policy.state import Pending
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
@@ -287,27 +288,31 @@
     assert all(b.sent(0).endpoint[0] % 2 == 0 for _ in range(8))  # not worth its crossing
 
 
+def until_call(actions: list[api.Action]) -> int:
+    """The time until the next call to discovery, as the decisions set it."""
+    [timer] = [a for a in actions if isinstance(a, api.SetTimer) and a.token == CALL]
+    return timer.delay
+
+
 def test_discovery_is_asked_in_time_and_again_after_a_failure() -> None:
     b = Bench(settings(discovery_on_request=True, ask_within=10 * SECOND))
     asked: list[int] = []
-    for _ in range(80):
-        if any(isinstance(a, api.Watch) for a in b.tick(0.25)):
-            asked.append(b.now)
-            b.give(api.EndpointList(api.ListKind.FAILED, ()))
+    pause = until_call(b.attached)
+    for _ in range(40):
+        b.now += pause
+        assert b.give(api.Timer(CALL)) == [api.Watch(True)]
+        asked.append(b.now)
+        pause = until_call(b.give(api.EndpointList(api.ListKind.FAILED, ())))
     gaps = [later - earlier for earlier, later in zip([START, *asked], asked, strict=False)]
-    assert len(asked) >= 3 and max(gaps) < 10 * SECOND
+    assert max(gaps) < 10 * SECOND
     b.give(api.EndpointList(api.ListKind.DELTA, ()))
+    assert b.give(api.Timer(CALL)) == []
     assert not any(isinstance(a, api.Watch) for _ in range(60) for a in b.tick(0.25))
 
 
 def test_first_subscriptions_are_spread() -> None:
-    first = set()
-    for seed in range(20):
-        b = Bench(settings(discovery_on_request=True), seed=seed)
-        while not any(isinstance(a, api.Watch) for a in b.tick(0.25)):
-            pass
-        first.add(b.now)
-    assert len(first) > 5
+    pauses = {until_call(Bench(settings(discovery_on_request=True), seed=n).attached) for n in range(20)}
+    assert len(pauses) > 5 and max(pauses) - min(pauses) > SECOND
 
 
 def test_a_zone_that_the_settings_lack_ends_nothing() -> None:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -20,6 +20,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 SITES = sorted((Path(__file__).parent.parent / "deploy" / "sites").glob("*/*.toml"))
 EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+MODES = {"ask": "on_request", "push": "pushed"}
 Rename = Callable[[str], str]
 
 
@@ -52,7 +53,7 @@
                   "FallMultiple": rules["fall_multiple"], "FallNs": rules["fall_ms"] * MS},
         "Deductions": {"CrossZone": site["prices"]["cross_zone"], "Waste": site["prices"]["waste"],
                        "Probe": site["prices"]["probe"]},
-        "Discovery": "on_request", "NInstances": 4, "Position": 1, "Zone": 1,
+        "Discovery": MODES[site["discovery"]["mode"]], "NInstances": 4, "Position": 1, "Zone": 1,
         "OverShareWorth": site["load"].get("over_share_worth", 1),
     }  # fmt: skip
     hosts = [entry(f"e-{i}", f"127.0.0.1:{9000 + i}") | {"site": zones[i % len(zones)]} for i in range(9)]
@@ -136,8 +137,11 @@
 
 
 def test_the_customers_differ_in_what_the_program_could_have_taken_for_granted() -> None:
-    one, other = (configured(path, str).settings for path in SITES)
+    by_name = {path.stem: configured(path, str).settings for path in SITES}
+    one, other = by_name["plain-zones"], by_name["unsafe-short"]
     assert one.zones != other.zones and bool(one.tenants) != bool(other.tenants)
     assert one.probes != other.probes and bool(one.retry_after_max) != bool(other.retry_after_max)
     assert any(c.effect == api.Effect.UNSAFE for c in (*one.classes, *other.classes))
     assert one.max_attempts != other.max_attempts and one.cross_price != other.cross_price
+    assert {s.discovery_on_request for s in by_name.values()} == {True, False}
+    assert len({s.drain_grace for s in by_name.values()}) > 1
