Discovery: an answer that comes once the next call has failed is followed by a watch

Seen by reading: a call says nothing in time and stays open; the next one is refused, so no watch is out; then the first is answered. To the decisions an answer is a watch that goes on, and the timer of the next call does nothing, so nobody would ever call again.

Line at fault: Discovery._answered_late took the list and began no watch. Change: where none is out, one begins.

Measured: test_watch, which waits for ever without the change.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -197,6 +197,11 @@
         # Where discovery is asked, an answer with nothing new confirms the list in hand.
         if told.seq > self._seq or (told.seq == self._seq and not self._pushed):
             self._take(told)
+            if (
+                self._watcher is None
+            ):  # the next call has failed meanwhile; to the decisions, this one watches
+                self._goes_on = True
+                self.watch(True)
 
     def _count(self, name: str) -> None:
         if not self._pushed:  # calls to an agent of its own cost the fleet nothing
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -142,6 +142,36 @@
     run(test())
 
 
+def test_an_answer_that_comes_once_the_next_call_has_failed_is_followed_by_a_watch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """To the decisions an answer is a watch that goes on, so they do not call again by themselves."""
+    monkeypatch.setattr(CallSchedule, "start", lambda self, now, settings: HOUR)
+    monkeypatch.setattr(CallSchedule, "failed", lambda self, now, settings: HOUR)
+
+    async def test() -> None:
+        refused = asyncio.Event()
+
+        async def script(seen: Seen) -> bytes:
+            if len(service.seen) == 1:
+                await refused.wait()
+                return told(2, ENTRY)
+            return status(503) if len(service.seen) == 2 else await never(seen)
+
+        async with (
+            endpoint(script) as service,
+            sidecar("127.0.0.1:9", discovery=service.dial, settings=ASKED) as node,
+        ):
+            node.discovery._response_timeout = 0.05
+            node.discovery.watch(True)
+            await node.event(failed)
+            refused.set()
+            watch = (await called(service, 3))[2]
+            assert watch.startswith("from=2&") and not watch.endswith("hold_ms=0")
+
+    run(test())
+
+
 def test_a_watch_that_was_refused_or_reset_is_left_to_the_decisions() -> None:
     """Discovery said no, or is gone: all sidecars asking again at once would keep it so."""
 
