Discovery: an older list after a move brings no withdrawn server back

Cause: after SIGHUP discovery may be a replica that is behind, or a service that counts its versions anew. Ruled out: late answers (_answered_late compares versions); a list taken in part (whole answers only). Lines at fault: node/discovery.py, _take: no comparison of versions. Change: node/withdrawals.py follows the lists. While they are older than the newest one, what that had withdrawn stays so, until started anew or the version is reached; after 60 s the whole list is called for and taken, as a service that counts anew looks the same. Where lists are pushed, a whole list that was called for is taken also at the version in hand. Cost: a dictionary entry for each listed server.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -13,6 +13,7 @@
 from sprucenotch.node.host import Host
 from sprucenotch.node.log import event
 from sprucenotch.node.upstream import Answer, Connection
+from sprucenotch.node.withdrawals import Withdrawals
 from sprucenotch.policy import discovery as schedule
 
 log = logging.getLogger(__name__)
@@ -40,6 +41,7 @@
 # that none loses its place in a queue, and the first that is answered counts. These are within the
 # descriptors that are kept for the program's own use.
 MAX_OVERDUE = 4
+WHOLE_LIST = ""  # the query of a call for it; it names no version
 
 
 class CallFailed(Exception):
@@ -59,6 +61,7 @@
         self._address = config.discovery
         self._adopt(config)
         self._seq = config.known.seq
+        self._withdrawals = Withdrawals(config.known, host.now())
         self._connection: Connection | None = None
         self._watcher: asyncio.Task[None] | None = None
         self._overdue: set[asyncio.Task[HostList]] = set()
@@ -151,6 +154,8 @@
     async def _call_agent(self) -> HostList:
         """A call to the agent: the first asks what is new by now, the others wait for something new."""
         query = self._query(0.0 if self._answered is None else HOLD_PUSHED)
+        if self._withdrawals.whole_list_due(self._host.now()):
+            query = WHOLE_LIST
         return await self._call_beside(query, HOLD_PUSHED + HOLD_GRACE_PUSHED, AGENT_TIMEOUT)
 
     async def _call_service(self) -> HostList:
@@ -159,8 +164,10 @@
         Else it asks what is new by now, as a watch on a list that is the newest would say nothing for as long
         as it holds, and nobody would know that it is.
         """
-        if not self._goes_on:
-            return await self._call_beside(self._query(0.0), self._response_timeout, OVERDUE_TIMEOUT)
+        whole_list_due = self._withdrawals.whole_list_due(self._host.now())
+        if whole_list_due or not self._goes_on:
+            query = WHOLE_LIST if whole_list_due else self._query(0.0)
+            return await self._call_beside(query, self._response_timeout, OVERDUE_TIMEOUT)
         hold = MAX_HOLD * (1 - (1 - MIN_HOLD_SHARE) * self._random())
         return await self._call(self._query(hold), hold + HOLD_GRACE)
 
@@ -207,7 +214,9 @@
 
     def _take(self, told: HostList) -> bool:
         """Pass a list on; whether it held anything new."""
-        self._answered = self._host.now()
+        self._answered = now = self._host.now()
+        whole_list_due = self._withdrawals.whole_list_due(now)
+        told = self._withdrawals.reconcile(told, now)
         if not told.whole and not told.hosts:
             if not self._pushed:
                 # The decisions wait for an answer to their call, even for an empty one.
@@ -215,7 +224,7 @@
             self._seq = told.seq
             self._host.confirm()
             return False
-        if told.whole and told.seq == self._seq and self._pushed:
+        if told.whole and told.seq == self._seq and self._pushed and not whole_list_due:
             self._host.confirm()
             return False
         self._host.learn(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
