Node: upstream is divided into connection, pool, attempt and upstream

Change: moved only. connection.py: one HTTP/1.1 connection; pool.py: what is held to an endpoint; attempt.py: a request on its way; upstream.py: the list, probes, and which connection is used. Imports, the table of constants and one patched name of a test follow their names.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -10,9 +10,9 @@
 
 from sprucenotch import api
 from sprucenotch.node.config import SECOND, Address, Config, HostList, host_list
+from sprucenotch.node.connection import Answer, Connection
 from sprucenotch.node.host import Host
 from sprucenotch.node.log import event
-from sprucenotch.node.upstream import Answer, Connection
 from sprucenotch.node.withdrawals import Withdrawals
 from sprucenotch.policy import discovery as schedule
 
--- a/sprucenotch/node/exchange.py
+++ b/sprucenotch/node/exchange.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from sprucenotch.node.config import SECOND
+from sprucenotch.node.connection import Answer, Headers
 from sprucenotch.node.head import CLOSE, SERVER_ONLY
 from sprucenotch.node.stream import Stream
-from sprucenotch.node.upstream import Answer, Headers
 
 
 class Exchange:
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -14,6 +14,7 @@
 import httptools
 
 from sprucenotch.node.config import Config
+from sprucenotch.node.connection import BLANKS, HEAD_MOST, Answer
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.head import CLIENT_ONLY, BadRequest, HeadRules, head
 from sprucenotch.node.host import Host
@@ -30,7 +31,6 @@
     Stream,
     chunk,
 )
-from sprucenotch.node.upstream import BLANKS, HEAD_MOST, Answer
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 TICK = 0.25  # how often a peer that is waited for is looked at
--- a/sprucenotch/node/head.py
+++ b/sprucenotch/node/head.py
@@ -8,8 +8,8 @@
 
 from sprucenotch import api
 from sprucenotch.node.config import SECOND
+from sprucenotch.node.connection import Headers
 from sprucenotch.node.ledger import Incoming
-from sprucenotch.node.upstream import Headers
 
 # What concerns one connection only, or is written anew.
 HOP_BY_HOP = frozenset(
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -16,14 +16,16 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
+from sprucenotch.node.attempt import Attempt
 from sprucenotch.node.config import SECOND, Config, HostList
+from sprucenotch.node.connection import Answer
 from sprucenotch.node.ledger import Client, Incoming, Open
 from sprucenotch.node.log import AccessLog
 from sprucenotch.node.log import event as tell
 from sprucenotch.node.standing import MS, STATUS_EVERY, Standing, own_memory
 from sprucenotch.node.stream import READ_MOST, Budget, Stream
 from sprucenotch.node.telemetry import OUTCOMES, Telemetry
-from sprucenotch.node.upstream import Answer, Attempt, Upstream
+from sprucenotch.node.upstream import Upstream
 from sprucenotch.policy.balance import Balancer
 from sprucenotch.seams.clock import Clock
 
--- a/sprucenotch/node/ledger.py
+++ b/sprucenotch/node/ledger.py
@@ -8,9 +8,10 @@
 from typing import NamedTuple, Protocol
 
 from sprucenotch import api
+from sprucenotch.node.attempt import Attempt
 from sprucenotch.node.config import SECOND
+from sprucenotch.node.connection import Answer
 from sprucenotch.node.stream import Stream
-from sprucenotch.node.upstream import Answer, Attempt
 
 
 class Client(Protocol):
--- /dev/null
+++ b/sprucenotch/node/pool.py
@@ -0,0 +1,25 @@
+"""The connections held to one endpoint."""
+
+from __future__ import annotations
+
+from sprucenotch.api import Health
+from sprucenotch.node.config import Host
+from sprucenotch.node.connection import Connection
+
+
+class Pool:
+    """What is held to one endpoint."""
+
+    __slots__ = ("dial", "health", "idle", "name", "place")
+
+    def __init__(self, host: Host) -> None:
+        self.idle: list[Connection] = []
+        self.update(host)
+
+    def update(self, host: Host) -> None:
+        self.name, self.dial, self.health = host.name, host.dial, host.endpoint.health
+        self.place = host.endpoint.zone, host.endpoint.cell
+
+    def takes(self, connection: Connection) -> bool:
+        """Whether something new may go out there: the endpoint wants it, and has not moved meanwhile."""
+        return self.health == Health.READY and connection.dial == self.dial
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -12,11 +12,11 @@
 
 from sprucenotch import api, settings
 from sprucenotch.node import config
+from sprucenotch.node.connection import Answer
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.frontend import ClientConnection
 from sprucenotch.node.serve import main
 from sprucenotch.node.telemetry import Telemetry
-from sprucenotch.node.upstream import Answer
 from sprucenotch.recovery import memory, writer
 from sprucenotch.seams.recorded import RecordedFile
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,8 +14,9 @@
 from sprucenotch import api
 from sprucenotch.api import Outcome
 from sprucenotch.node import config, frontend
+from sprucenotch.node.connection import Connection
 from sprucenotch.node.frontend import PIPELINE_MOST, ClientConnection
-from sprucenotch.node.upstream import Connection, Pool
+from sprucenotch.node.pool import Pool
 from tests.sidecar import (
     SETTINGS,
     Client,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,9 +17,10 @@
 from sprucenotch.api import Outcome
 from sprucenotch.node import config, discovery
 from sprucenotch.node.config import SECOND
+from sprucenotch.node.connection import Connection
 from sprucenotch.node.frontend import PIPELINE_MOST, ClientConnection
 from sprucenotch.node.peers import Peers
-from sprucenotch.node.upstream import SURPLUS_IDLE, Connection, Upstream, parse_report
+from sprucenotch.node.upstream import SURPLUS_IDLE, Upstream, parse_report
 from tests.sidecar import (
     SETTINGS,
     WAIT,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -11,9 +11,10 @@
 from sprucenotch import api
 from sprucenotch.api import Outcome
 from sprucenotch.node import upstream
+from sprucenotch.node.attempt import Attempt
+from sprucenotch.node.connection import Connection
 from sprucenotch.node.frontend import ClientConnection
 from sprucenotch.node.serve import shared_listener, stop_accepting
-from sprucenotch.node.upstream import Attempt, Connection
 from tests.sidecar import SETTINGS, Seen, always_ok, endpoint, never, ok, request, run, sidecar
 from tests.test_leaving import LateConnections, completed
 from tests.test_retuning import swap
--- a/tests/test_rest_timer.py
+++ b/tests/test_rest_timer.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 
 from sprucenotch.node import config
-from sprucenotch.node.upstream import REST, Connection, Pool, Upstream
+from sprucenotch.node.connection import Connection
+from sprucenotch.node.pool import Pool
+from sprucenotch.node.upstream import REST, Upstream
 from tests.helpers import MS, SECOND
 from tests.sidecar import configuration
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -16,7 +16,8 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.node import config, frontend, upstream
+from sprucenotch.node import config, connection, frontend
+from sprucenotch.node.connection import Answer
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.frontend import TICK, ClientConnection, Frontend
 from sprucenotch.node.ledger import Incoming
@@ -30,7 +31,6 @@
     Budget,
     Stream,
 )
-from sprucenotch.node.upstream import Answer
 from tests.sidecar import Sidecar, configuration, dead_dial, endpoint, ok, request, run, sidecar, status
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -273,7 +273,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The engine falls silent in the middle of it, and is given up: an end, but not the engine's."""
-    monkeypatch.setattr(upstream, "STALLED", 0.05)
+    monkeypatch.setattr(connection, "STALLED", 0.05)
 
     async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await head_of(reader)
