Discovery: calls that waited come back over all that is left of the budget

Cause: a call that failed after it had waited came back after 0 to as long again, 1 s on average of the 2.4 s that the budget leaves. In the model of a service that works on calls that were given up, too, a fleet of 230 or 11,000 was never told where a call of each takes 5.6 s in all: half of it starved for ever. Ruled out: a wider spread of the first call (a third of the budget breaks the sum over three refused calls); waits beyond the budget (break the bound from the return of discovery). Lines at fault: policy/discovery.py, _pause: random() * min(took, left - took). Change: half to all of what is left of the budget less an answer as slow. The bound is the same. The new test fails without the change.

--- a/sprucenotch/policy/discovery.py
+++ b/sprucenotch/policy/discovery.py
@@ -18,7 +18,7 @@
                  a service that lets calls wait works on those that were given up too, so that a queue longer
                  than its time-out starves those that come back
     pause_i      what is left of budget / 8 since the failed call began, if it was refused at once;
-                 as long as the call had waited, if that leaves as much for the answer; else MAX_GAP
+                 what is left of the budget less an answer as slow, if the call had waited; MAX_GAP at least
 
 So the schedule bears three calls refused at once with an answer in 0.3 of the budget (2 s of 6.5 s), or one
 call that failed after up to 0.3 of the budget with an answer as slow as that. More cannot be had by
@@ -98,8 +98,10 @@
         longest = call_budget(settings) // MAX_INTERVAL_SHARE
         interval = min(longest, FIRST_INTERVAL << min(self._failures - 1, MAX_INTERVAL_SHARE))
         until_interval = int(self._share() * interval) - took
-        as_long_again = int(self._random() * min(took, left - took))
-        return max(until_interval, as_long_again, self._gap())
+        if took <= longest:
+            return max(until_interval, self._gap())
+        room = left - took - MAX_GAP  # for an answer as slow
+        return max(int(self._share() * room), self._gap())
 
     def _gap(self) -> int:
         return int(self._share() * MAX_GAP)
--- a/tests/test_call_schedule.py
+++ b/tests/test_call_schedule.py
@@ -193,3 +193,12 @@
     assert len(fleet.told_at) == processes
     assert max(fleet.told_at.values()) <= call_budget(settings)
     assert len(fleet.begun) <= 2 * processes
+
+
+@pytest.mark.parametrize("processes", [230, 11_000])
+def test_a_service_with_hardly_room_for_a_fleet_is_not_kept_from_recovering(processes: int) -> None:
+    """It needs 5.6 s for a call of each, and lets them wait for 2 s: over half of the first ones fail."""
+    fleet = Fleet(processes, int(5.6 * SECOND / processes), 2 * SECOND, asked())
+    fleet.play(60 * SECOND)
+    assert len(fleet.told_at) == processes
+    assert len(fleet.begun) <= 3.5 * processes
