Discovery: the answer to a call for the whole list is taken as whole

Cause: found by reading: a service that does not mark its whole list as such would be called for it again and again, without a pause, as only a whole list ends what is held back. Line at fault: node/discovery.py, _call: `whole` as the answer has it. Change: the answer to a call that names no version is whole, as the protocol says. Measured: test_withdrawals, a list that is not marked, asked and pushed; fails without the change.

--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -7,6 +7,7 @@
 import random
 
 import msgspec
+from msgspec import structs
 
 from sprucenotch import api
 from sprucenotch.node.config import SECOND, Address, Config, HostList, host_list
@@ -41,7 +42,7 @@
 # that none loses its place in a queue, and the first that is answered counts. These are within the
 # descriptors that are kept for the program's own use.
 MAX_OVERDUE = 4
-WHOLE_LIST = ""  # the query of a call for it; it names no version
+WHOLE_LIST = ""  # the query of a call that names no version: whatever its answer says, it is whole
 
 
 class CallFailed(Exception):
@@ -239,7 +240,8 @@
         if answer is None or answer.status != 200:
             raise CallFailed("no answer" if answer is None else f"status {answer.status}")
         try:
-            return host_list(msgspec.json.decode(answer.body), self._names)
+            told = host_list(msgspec.json.decode(answer.body), self._names)
+            return structs.replace(told, whole=told.whole or query == WHOLE_LIST)
         except (ValueError, RecursionError) as problem:
             raise CallFailed(f"malformed list: {problem}") from None
 
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -209,9 +209,10 @@
     run(test())
 
 
+@pytest.mark.parametrize("marked", [False, True], ids=["not marked as whole", "marked"])
 @pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
 def test_after_the_retention_the_whole_list_is_called_for_and_taken_as_it_is(
-    pushed: bool, monkeypatch: pytest.MonkeyPatch
+    pushed: bool, marked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Discovery counts anew: the server that was removed before is back at its old start."""
 
@@ -219,7 +220,7 @@
         async with endpoint(always_ok) as served:
             back = entry("s-0", served.dial)
             answers = in_turn(
-                [answer(9, True), answer(1, False, back), answer(1, False), answer(1, True, back)]
+                [answer(9, True), answer(1, False, back), answer(1, False), answer(1, marked, back)]
             )
 
             async def script(seen: Seen) -> bytes | None:
@@ -232,8 +233,9 @@
                 sidecar(served.dial, discovery=service.dial, settings=SETTINGS if pushed else ASKED) as node,
             ):
                 node.discovery.watch(True)
-                _, second, third, fourth, *_ = await calls(service, 5)
+                _, second, third, fourth, fifth, *_ = await calls(service, 5)
                 assert "from=9" in second and "from=1" in third and fourth == "/discovery/hosts"
+                assert "from=1" in fifth  # once is enough
                 client = await node.client()
                 assert (await client.ask(request()))[0] == 200
 
