Rig: discovery that fails over to a replica which is behind

Need: the mend of older lists was tested in one process; the fault is one between several. Change: `behind` of the fault `discovery`: its watches end, and a replica answers that stands where the service stood so long ago, until it catches up at the fault's end. The stand-in keeps the list at its oldest version and the times of changes, in place of the list at the newest. Unit test of the stand-in.

--- a/sprucenotch/rig/actions.py
+++ b/sprucenotch/rig/actions.py
@@ -114,18 +114,14 @@
 
     async def _on_discovery(self, fault: faults.Discovery) -> Begun:
         discovery = self.stage.discovery
+        if fault.behind:
+            await discovery.behind(fault.behind / SECOND)
+            return Begun(("discovery",), (), lambda: discovery.behind(0.0))
         if fault.late:
             await discovery.late(fault.late / SECOND)
-        else:
-            await discovery.die()
-
-        async def heal() -> None:
-            if fault.late:
-                await discovery.late(0.0)
-            else:
-                await discovery.start()
-
-        return Begun(("discovery",), () if fault.late else ("discovery",), heal)
+            return Begun(("discovery",), (), lambda: discovery.late(0.0))
+        await discovery.die()
+        return Begun(("discovery",), ("discovery",), discovery.start)
 
     def _surge(self, number: int, fault: faults.Surge) -> Begun:
         self._surges[number] = float(fault.times)
--- a/sprucenotch/rig/discovery.py
+++ b/sprucenotch/rig/discovery.py
@@ -36,9 +36,13 @@
     def __init__(
         self, witness: Callable[[Listed | Told], None] = lambda event: None, origin: float = 0.0
     ) -> None:
-        self._hosts: dict[str, Entry] = {}
+        self._oldest: dict[str, Entry] = {}  # the list at the version `_first`
         self._changes: list[Entry] = []  # change number n made version n + 1
+        self._changed_at: list[float] = []  # and when
         self._first = 0  # the version before the first change kept
+        self._replica: int | None = (
+            None  # the version that a replica has which answers in place of the service
+        )
         self._changed = asyncio.Event()
         self._holding: set[asyncio.Task[None]] = set()
         self._witness, self._origin = witness, origin
@@ -52,6 +56,11 @@
     def version(self) -> int:
         return self._first + len(self._changes)
 
+    @property
+    def shown(self) -> int:
+        """The version by which calls are answered."""
+        return self.version if self._replica is None else max(self._replica, self._first)
+
     def _now(self) -> float:
         return time.monotonic() - self._origin
 
@@ -85,34 +94,56 @@
         """Answers wait so long from now on, as those of a service with too much to do."""
         self._late = seconds
 
+    async def behind(self, seconds: float) -> None:
+        """Fail over to a replica that stands where the service stood so long ago; with 0 it has caught up.
+
+        Watches end at the failover, as its connections do.
+        """
+        if not seconds:
+            self._replica = None
+            self._wake_watches()
+            return
+        before = self._now() - seconds
+        self._replica = self._first + sum(at <= before for at in self._changed_at)
+        await self.die()
+        await self.start()
+
     async def tell(self, entry: Entry) -> None:
         """A new entry, or one that changed; `removed` takes it off the list."""
-        if entry["health"] == "removed":
-            self._hosts.pop(entry["host"], None)
-        else:
-            self._hosts[entry["host"]] = entry
         self._changes.append(entry)
+        self._changed_at.append(self._now())
         if len(self._changes) > CHANGES_KEPT:
             self._first += 1
-            del self._changes[0]
+            _apply(self._oldest, self._changes.pop(0))
+            del self._changed_at[0]
         self._witness(
             Listed(at=self._now(), engine=entry["host"], health=entry["health"], version=self.version)
         )
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def whole(self, sidecar: str = "") -> dict[str, object]:
-        return self._list(sidecar, True, list(self._hosts.values()))
+        return self._list(sidecar, True, self._hosts())
+
+    def _hosts(self) -> list[Entry]:
+        """The entries of the version shown."""
+        hosts = dict(self._oldest)
+        for entry in self._changes[: self.shown - self._first]:
+            _apply(hosts, entry)
+        return list(hosts.values())
 
     def _list(self, sidecar: str, whole: bool, hosts: list[Entry]) -> dict[str, object]:
         dials = self._dials.get(sidecar, {})
         shown = [Entry(**entry | {"dial": dials.get(entry["host"], entry["dial"])}) for entry in hosts]
-        return {"seq": self.version, "whole": whole, "hosts": shown}
+        return {"seq": self.shown, "whole": whole, "hosts": shown}
 
     def _since(self, sidecar: str, version: int) -> dict[str, object]:
-        if not self._first <= version <= self.version:
-            return self._list(sidecar, True, list(self._hosts.values()))
-        return self._list(sidecar, False, self._changes[version - self._first :])
+        if not self._first <= version <= self.shown:
+            return self._list(sidecar, True, self._hosts())
+        return self._list(sidecar, False, self._changes[version - self._first : self.shown - self._first])
 
     def _called(self, sidecar: str, call: Call, answer: Answer) -> None:
         asked = {key: values[-1] for key, values in parse_qs(call.query.decode("ascii", "replace")).items()}
@@ -126,11 +157,18 @@
         task.add_done_callback(self._holding.discard)
 
     async def _watch(self, sidecar: str, version: int, hold: float, answer: Answer) -> None:
-        if version == self.version:
+        if version == self.shown:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), hold)
         if self._late:
             await asyncio.sleep(self._late)
         told = self._since(sidecar, version)
         if answer(response(200, msgspec.json.encode(told))) is not False:
-            self._witness(Told(at=self._now(), sidecar=sidecar, version=self.version))
+            self._witness(Told(at=self._now(), sidecar=sidecar, version=self.shown))
+
+
+def _apply(hosts: dict[str, Entry], change: Entry) -> None:
+    if change["health"] == "removed":
+        hosts.pop(change["host"], None)
+    else:
+        hosts[change["host"]] = change
--- a/sprucenotch/rig/faults.py
+++ b/sprucenotch/rig/faults.py
@@ -125,9 +125,10 @@
 
 
 class Discovery(Fault, frozen=True, kw_only=True, tag="discovery"):
-    """Down, or its answers late by so much."""
+    """Down, or its answers late by so much, or in its place a replica that is so far behind."""
 
     late: Span = 0
+    behind: Span = 0
 
 
 class Surge(Fault, frozen=True, kw_only=True, tag="surge"):
--- a/sprucenotch/rig/remote.py
+++ b/sprucenotch/rig/remote.py
@@ -166,6 +166,9 @@
     async def late(self, seconds: float) -> None:
         await self.remote.call("late", seconds=seconds)
 
+    async def behind(self, seconds: float) -> None:
+        await self.remote.call("behind", seconds=seconds)
+
     async def tell(self, entry: Entry) -> None:
         await self.remote.call("tell", entry=entry)
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -69,3 +69,36 @@
         assert told["whole"] and len(told["hosts"]) == 2
 
     run(test())
+
+
+def test_a_replica_that_is_behind_answers_by_an_older_list_until_it_has_caught_up() -> None:
+    async def test() -> None:
+        discovery = Discovery()
+        for number in range(3):
+            await discovery.tell(entry(f"engine-{number}"))
+        await discovery.tell(Entry(**entry("engine-0") | {"health": "removed"}))
+        now = discovery._now()
+        discovery._changed_at = [now - 10, now - 10, now, now]
+        await discovery.behind(5.0)
+        assert discovery.up
+        assert (await answer(discovery, b"")) == (2, True, ["engine-0", "engine-1"])
+        assert (await answer(discovery, b"from=4&hold_ms=9000")) == (2, True, ["engine-0", "engine-1"])
+        waiting = watch(discovery, b"from=2&hold_ms=9000")
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        await discovery.behind(0.0)
+        assert told(await waiting) == (4, False, ["engine-2", "engine-0"])
+        assert (await answer(discovery, b"")) == (4, True, ["engine-1", "engine-2"])
+        await discovery.die()
+
+    run(test())
+
+
+def told(raw: bytes) -> tuple[int, bool, list[str]]:
+    """Version, whether it is the whole list, and the engines that it names."""
+    answered = json.loads(raw.partition(b"\r\n\r\n")[2])
+    return answered["seq"], answered["whole"], [host["host"] for host in answered["hosts"]]
+
+
+async def answer(discovery: Discovery, query: bytes) -> tuple[int, bool, list[str]]:
+    return told(await watch(discovery, query))
