Engines: members are not looked at for cold ones while there is no credit to send them anything

Lines: policy/engines.py, cold(): the list was made before the credit was looked at. Change: the credit first. The decisions are the same: neither check has an effect.

--- a/sprucenotch/policy/engines.py
+++ b/sprucenotch/policy/engines.py
@@ -151,8 +151,10 @@
         earned for all cold ones, here and across: the part of one where the request may not go is given up,
         else the others would get it too, and all at once where it was saved up.
         """
+        if self.credit < 1:  # as while all are warm: no need to look at each
+            return None
         cold = [m for subset in self.subset for m in subset if self.warmth(m, now) < 1]
-        if not cold or self.credit < 1:
+        if not cold:
             return None
         [member] = self.choices(cold, weights=[self.warmth(m, now) for m in cold])
         self.credit -= not member.inflight
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -140,3 +140,11 @@
     assert 0 < len(fleet.sends) <= servers * seconds + processes
     for n in range(servers):
         assert within_bound(fleet.sent(n), started), (n, len(fleet.sent(n)))
+
+
+def test_while_all_servers_are_warm_no_request_looks_at_each_of_them(monkeypatch: pytest.MonkeyPatch) -> None:
+    bench = Bench(settings(), servers=6)
+    bench.sent()  # the subset is chosen
+    engines = bench.balancer.engines
+    monkeypatch.setattr(engines, "warmth", None)  # any use of it would be an error
+    assert engines.cold(True, bench.now) is None
