Upstream: a connection opened for want of rested ones comes up beside the request, not under it

Line at fault: node/attempt.py, start(): the attempt was bound to the connection that it opened. Change: the attempt waits for the rest, as before; where waits follow on each other within SURPLUS_IDLE another connection is opened beside it, one at a time, and joins the pool unrested.

--- a/sprucenotch/node/attempt.py
+++ b/sprucenotch/node/attempt.py
@@ -63,7 +63,8 @@
         connection = self._upstream.take(self._pool)
         if connection is not None:
             self._write(connection)
-        elif self._rest is None and self._upstream.is_rest_awaited(self._pool):  # once, so REST at most
+        elif self._pool.idle and self._rest is None:  # once, so REST at most
+            self._upstream.rest_awaited(self._pool)
             self._rest = self._upstream.loop.call_later(self._upstream.rests(self._pool), self._rested)
         elif self._upstream.room():
             self._connect = self._upstream.loop.create_task(self._open())
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -168,14 +168,25 @@
             connection.close()
         return None
 
-    def is_rest_awaited(self, pool: Pool) -> bool:
-        """Whether an attempt waits for an idle connection that rests. Where the last one that found them all
-        resting was within SURPLUS_IDLE, another connection is worth its handshake, and is opened instead."""
-        if not pool.idle:
-            return False
+    def rest_awaited(self, pool: Pool) -> None:
+        """An attempt waits for one of the pool's idle connections to rest. Where the last wait was within
+        SURPLUS_IDLE, another connection is worth its handshake. It is opened beside, one at a time, for the
+        attempts to come: it may come up late, and the rest is short."""
         now, before = self.now(), pool.waited_at
         pool.waited_at = now
-        return before is None or before < now - SURPLUS_IDLE or self._open >= self._most
+        often = before is not None and before >= now - SURPLUS_IDLE
+        if often and pool.opening is None and self._open < self._most:
+            pool.opening = self.loop.create_task(self._open_spare(pool))
+
+    async def _open_spare(self, pool: Pool) -> None:
+        try:
+            connection = await self.connect(pool)
+        except OSError:  # a time-out is one
+            return
+        finally:
+            pool.opening = None
+        self.give(pool, connection)
+        connection.rests_until = 0  # it has answered nothing yet
 
     def rests(self, pool: Pool) -> float:
         """The delay of a timer that comes once the first of its idle connections has rested, in seconds."""
