--- a/sprucenotch/rig/discovery.py
+++ b/sprucenotch/rig/discovery.py
@@ -40,9 +40,7 @@
         self._changes: list[Entry] = []  # change number n made version n + 1
         self._changed_at: list[float] = []  # and when
         self._first = 0  # the version before the first change kept
-        self._replica: int | None = (
-            None  # the version that a replica has which answers in place of the service
-        )
+        self._replica: int | None = None  # the version of a replica that answers in its place
         self._changed = asyncio.Event()
         self._holding: set[asyncio.Task[None]] = set()
         self._witness, self._origin = witness, origin
