Node: a failed epoll_ctl is tried again, at every socket of the program

Cause: the event library's loop aborts where its epoll_ctl fails. node/poller.py keeps the sockets out of it; what was left: the peers' datagram socket, and a registration that met the one of an ended watch made two calls, register and modify, of which with one of 2 failing the second always did: seen as requests that stood still until their deadline, by a look at the wanted and registered masks at each time-out. The library of failing calls knows EPOLL_CTL.

--- a/sprucenotch/node/poller.py
+++ b/sprucenotch/node/poller.py
@@ -21,6 +21,7 @@
 REGISTRATION_PASSING = frozenset((errno.ENOMEM, errno.ENOSPC))
 # What epoll reports whether or not it is asked for.
 ALWAYS_REPORTED = select.EPOLLERR | select.EPOLLHUP
+UNKNOWN = -1  # in place of a mask: the kernel has one, of an earlier watch
 
 log = logging.getLogger(__name__)
 
@@ -62,7 +63,8 @@
         self._epoll = select.epoll()
         self._watches: dict[int, Watch] = {}
         self._failed: dict[Watch, None] = {}  # whose mask could not be brought into force yet
-        self._pauses: Iterator[float] = pauses()
+        self._failing = False  # the last registration failed
+        self._pauses: Iterator[float] = pauses()  # since the last that did not
         self._retry: asyncio.TimerHandle | None = None
         loop.add_reader(self._epoll.fileno(), self._dispatch)
 
@@ -79,10 +81,13 @@
             if problem.errno not in REGISTRATION_PASSING:
                 raise
             self._failed[watch] = None
+            self._failing = True
             if self._retry is None:
                 self._retry = self.loop.call_later(next(self._pauses), self._apply_again)
             return
         self._failed.pop(watch, None)
+        if self._failing:
+            self._failing, self._pauses = False, pauses()
 
     def forget(self, watch: Watch) -> None:
         """Drop a watch whose descriptor is about to be closed."""
@@ -97,6 +102,7 @@
             try:
                 self._epoll.register(watch.fd, watch.wanted)
             except FileExistsError:  # by an earlier watch of the descriptor, which has ended
+                watch.in_force = UNKNOWN  # also where the next call fails
                 self._epoll.modify(watch.fd, watch.wanted)
         elif watch.wanted:
             self._epoll.modify(watch.fd, watch.wanted)
@@ -108,8 +114,6 @@
         self._retry = None
         for watch in list(self._failed):
             self.apply(watch)
-        if not self._failed:
-            self._pauses = pauses()
 
     def _dispatch(self) -> None:
         try:
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -27,6 +27,7 @@
 from sprucenotch.node.log import event, toggle
 from sprucenotch.node.management import Management
 from sprucenotch.node.peers import Peers
+from sprucenotch.node.poller import running_poller
 from sprucenotch.node.reload import LOAD_TIMEOUT, Reload
 from sprucenotch.seams import clock
 from sprucenotch.seams.system_errors import pauses
@@ -40,6 +41,7 @@
 async def serve(config: Config) -> None:
     """Serve until SIGTERM or SIGINT; then finish what was taken."""
     loop = asyncio.get_running_loop()
+    running_poller()  # before there is anything to watch: the event loop's own part, which must not fail
     event(log, logging.INFO, "starting", name=config.name, servers=len(config.known.hosts))
     amiss = config.clock
     time = clock.wrong(amiss.offset_ns, amiss.drift_ppm) if amiss else clock.Clock()
--- a/sprucenotch/node/transport.py
+++ b/sprucenotch/node/transport.py
@@ -15,6 +15,7 @@
 import select
 import socket
 from collections.abc import Callable, Iterator
+from select import EPOLLIN, EPOLLOUT
 from typing import cast
 
 from sprucenotch.node.config import Address
@@ -115,16 +116,16 @@
         events = 0
         reads_pause = self._failing_read is not None and self._failing_read.waits
         if self._reading and not self._closing and not self._peer_ended and not reads_pause:
-            events |= select.EPOLLIN
+            events |= EPOLLIN
         writes_pause = self._failing_write is not None and self._failing_write.waits
         if self._unsent and not writes_pause:
-            events |= select.EPOLLOUT
+            events |= EPOLLOUT
         self._watch.want(events)
 
     def _ready(self, events: int) -> None:
-        if events & ~select.EPOLLOUT and self._watch.wanted & select.EPOLLIN:
+        if events & ~EPOLLOUT and self._watch.wanted & EPOLLIN:
             self._read()
-        if events & ~select.EPOLLIN and self._watch.wanted & select.EPOLLOUT:
+        if events & ~EPOLLIN and self._watch.wanted & EPOLLOUT:
             self._send_rest()
 
     # ---- reading
@@ -358,7 +359,7 @@
             come_up.set_result(None)
 
     watch = poller.watch(connecting.fileno(), ready)
-    watch.want(select.EPOLLOUT)
+    watch.want(EPOLLOUT)
     try:
         await come_up
     finally:
--- a/sprucenotch/rig/syscalls.c
+++ b/sprucenotch/rig/syscalls.c
@@ -27,7 +27,7 @@
 
 /* In the order of syscalls.Call. */
 enum call { ACCEPT, SOCKET, CONNECT, CONNECTED, READ, WRITE, SHUTDOWN, WAIT, OPEN, FILE_WRITE, SYNC, RENAME,
-            DATAGRAM, LISTEN, BIND, CALLS };
+            DATAGRAM, LISTEN, BIND, EPOLL_CTL, CALLS };
 #define SHORT (-1) /* in place of an error: the call moves one byte */
 
 struct rule {
@@ -42,7 +42,8 @@
 };
 
 static struct control *control;
-/* Whether the process listens: before, the interpreter loads its modules, and ends where one cannot be read. */
+/* Whether the process listens: before, the interpreter loads its modules, and ends where one cannot be read, and the
+ * event loop's library sets itself up, and ends where it cannot. */
 static atomic_int listens;
 
 __attribute__((constructor)) static void attach(void)
@@ -266,6 +267,13 @@
     return REAL(epoll_wait)(fd, events, most, timeout);
 }
 
+int epoll_ctl(int fd, int operation, int watched, struct epoll_event *event)
+{
+    if (atomic_load(&listens))
+        FAIL_IF(EPOLL_CTL);
+    return REAL(epoll_ctl)(fd, operation, watched, event);
+}
+
 int poll(struct pollfd *polled, nfds_t count, int timeout)
 {
     FAIL_IF(WAIT);
--- a/sprucenotch/rig/syscalls.py
+++ b/sprucenotch/rig/syscalls.py
@@ -41,6 +41,7 @@
     DATAGRAM = 12  # sends of datagrams
     LISTEN = 13
     BIND = 14
+    EPOLL_CTL = 15  # once the process listens: the event loop's library ends the process where its own fail
 
 
 class Rule(NamedTuple):
--- a/tests/test_failing_transfers.py
+++ b/tests/test_failing_transfers.py
@@ -20,11 +20,12 @@
 
 pytestmark = needs_compiler
 OUT_OF_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
+NO_WATCHES = (errno.ENOMEM, errno.ENOSPC)
 
 
-async def no_request_is_lost_where(call: Call, folder: Path) -> None:
+async def no_request_is_lost_where(call: Call, errors: tuple[int, ...], folder: Path) -> None:
     async with serving_sizes(folder) as sidecar:
-        for error in OUT_OF_MEMORY:
+        for error in errors:
             for every in (5, 2):
                 rule = Rule(call, error, every)
                 sidecar.control.fail(rule)
@@ -34,8 +35,13 @@
 
 
 def test_no_request_is_lost_where_writes_fail_for_want_of_memory(tmp_path: Path) -> None:
-    run(no_request_is_lost_where(Call.WRITE, tmp_path))
+    run(no_request_is_lost_where(Call.WRITE, OUT_OF_MEMORY, tmp_path))
 
 
 def test_no_request_is_lost_where_reads_fail_for_want_of_memory(tmp_path: Path) -> None:
-    run(no_request_is_lost_where(Call.READ, tmp_path))
+    run(no_request_is_lost_where(Call.READ, OUT_OF_MEMORY, tmp_path))
+
+
+def test_no_request_is_lost_where_readiness_cannot_be_asked_for(tmp_path: Path) -> None:
+    """epoll_ctl fails, as epoll_ctl(2) documents it. The event library ended the process with SIGABRT."""
+    run(no_request_is_lost_where(Call.EPOLL_CTL, NO_WATCHES, tmp_path))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -765,10 +765,10 @@
             bound.setblocking(False)
         peers = ["127.0.0.1:9", f"127.0.0.1:{other.getsockname()[1]}"]
         async with sidecar(peers=peers, peers_all=peers[1], peer_listen="127.0.0.1:1") as node:
-            transport, _ = await loop.create_datagram_endpoint(
-                lambda: Peers(node.config, node.host), local_addr=("127.0.0.1", 0)
-            )
-            address = transport.get_extra_info("sockname")
+            listening = Peers(node.config, node.host)
+            await listening.listen(("127.0.0.1", 0))
+            assert listening._socket is not None
+            address = listening._socket.getsockname()
             node.host.tell(1, b"to one")
             node.host.tell(-1, b"to all")
             node.host.tell(1, b"x" * 257)
@@ -779,7 +779,7 @@
             other.sendto(b"a peer", address)
             event = await node.event(lambda e: isinstance(e, api.PeerMessage))
             assert event == api.PeerMessage(1, b"a peer")
-            transport.close()
+            listening.close()
         other.close()
         stranger.close()
 
