Node: room for descriptors is never made by a request that has come in part

Symptom: socket with EMFILE for one of 3 while requests come in pieces reset two or three of 20 clients in their first request. Change: no connection with a request in part makes room; for a failed call a new one does from MIN_UNUSED_AGE on; one rule, system_errors.Shortage, for accept and socket.

--- a/sprucenotch/node/acceptor.py
+++ b/sprucenotch/node/acceptor.py
@@ -17,10 +17,8 @@
 from sprucenotch.node.log import event
 from sprucenotch.node.poller import running_poller
 from sprucenotch.node.transport import SocketTransport
-from sprucenotch.seams.system_errors import EXHAUSTED, MAX_PAUSE, pauses
+from sprucenotch.seams.system_errors import EXHAUSTED, MAX_PAUSE, Shortage, pauses
 
-# Failures in a row after which an idle connection is closed to make room: one alone may pass by itself.
-FAILURES_BEFORE_ROOM = 2
 MAX_FAILURES_AT_ONCE = 8  # connections that failed in the queue, after which accept pauses too
 # Seconds for which a queue that cannot be emptied is tried as the listener closes. New connections end 0.4 s
 # after SIGTERM, accepting 0.6 s after it, and the process is killed 0.7 s and the longest deadline after it.
@@ -50,6 +48,7 @@
         self._waiting: asyncio.Future[None] | None = None  # for the next connection to come
         self._closing = False
         self._failures, self._pauses = 0, pauses()  # of accept, since the last connection that was taken
+        self._shortage = Shortage()
         listener.setblocking(False)
         self._watch = running_poller().watch(listener.fileno(), self._wake)
         self._task = self._loop.create_task(self._run())
@@ -106,13 +105,14 @@
         many do so in a row."""
         self._failures += 1
         self._count("accept_failed")
-        if problem.errno in EXHAUSTED and self._failures >= FAILURES_BEFORE_ROOM:
+        if self._shortage.lasts(problem):
             self._make_room()
         at_once = problem.errno not in EXHAUSTED and self._failures <= MAX_FAILURES_AT_ONCE
         await asyncio.sleep(0 if at_once else next(self._pauses))
 
     async def _hand_over(self, taken: socket.socket) -> None:
         self._failures, self._pauses = 0, pauses()
+        self._shortage.ends()
         SocketTransport(taken, self._protocol())
         await asyncio.sleep(0)  # the connections that are open have their turn too
 
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -42,6 +42,9 @@
 DISCONNECT_CHECK_INTERVAL = 0.1
 # What poll reports once the peer has closed, half-closed or reset its connection.
 PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# Seconds for which the first request of a new connection may be on its way: some for the way, and up to 0.15
+# for a client that is held up between its connect and its write.
+MIN_UNUSED_AGE = 0.25
 LINGER = 2.0  # after the last answer, for what the client still sends: a close would destroy the answer
 
 
@@ -49,6 +52,7 @@
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self.number = frontend.next_number()
+        self._taken_at = frontend.loop.time()
         self._transport: SocketTransport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[Exchange] = deque()
@@ -77,15 +81,21 @@
         """Whether the client is done with it for now: it has been used, and nothing lies unread in it."""
         return not self._fresh and self.idle and not self._unread()
 
+    @property
+    def used(self) -> bool:
+        """Whether a request has come, or begun to."""
+        return not self._fresh
+
+    @property
+    def age(self) -> float:
+        """Seconds since it was taken."""
+        return self.frontend.loop.time() - self._taken_at
+
     @property
     def asked(self) -> bool:
         """Whether its first request lies unread in the kernel, or a part of it."""
         return self._fresh and self._unread()
 
-    @property
-    def owed(self) -> bool:
-        return any(exchange.id or exchange.answer for exchange in self._exchanges)
-
     @property
     def _full(self) -> bool:
         """Whether no further request is read until answers have left."""
@@ -575,9 +585,13 @@
         return self._last_number
 
     def make_room(self) -> None:
-        """Close a connection that its client is done with, if there is one that is not closing already."""
+        """Close a connection that its client is done with, if there is one and none is closing already. The
+        first request of one that has just come is on its way: it is passed over."""
         staying = self._staying()
-        if len(staying) == len(self._connections) and (spare := next(self._spare(staying), None)) is not None:
+        if len(staying) < len(self._connections):
+            return
+        settled = [c for c in staying if c.used or c.age >= MIN_UNUSED_AGE]
+        if (spare := next(self._spare(settled), None)) is not None:
             spare.make_room()
 
     def _staying(self) -> list[ClientConnection]:
@@ -585,12 +599,11 @@
 
     def _spare(self, staying: list[ClientConnection]) -> Iterator[ClientConnection]:
         """Those whose close loses nothing: what crosses the close of a used one is sent again. Then those
-        that are idle, then the oldest that never finish their request. One whose first request lies unread in
-        the kernel would lose it: it is passed over."""
+        that are idle. One whose first request has come in part, read or unread, would lose it: it is passed
+        over, and `Patience` ends the wait for one that never comes whole."""
         done = (c for c in staying if c.left)
         idle = (c for c in staying if c.idle and not c.asked)
-        unfinished = (c for c in staying if not c.owed and not c.asked)
-        return itertools.chain(done, idle, unfinished)
+        return itertools.chain(done, idle)
 
     def closed(self, connection: ClientConnection) -> None:
         self._connections.pop(connection, None)
--- a/sprucenotch/node/upstream.py
+++ b/sprucenotch/node/upstream.py
@@ -12,7 +12,7 @@
 from sprucenotch.node.pool import Pool
 from sprucenotch.node.stream import Stream, nothing
 from sprucenotch.node.transport import connect
-from sprucenotch.seams.system_errors import DESCRIPTORS, ignore, retried
+from sprucenotch.seams.system_errors import Shortage, ignore, retried
 
 PROBE_TIMEOUT = 0.5
 IDLE_SHARE = 0.9  # a connection idle for this share of the endpoint's limit is not used again
@@ -229,9 +229,11 @@
             async with asyncio.timeout(self._connect_timeout):
                 await connect(connection, pool.dial)
 
+        shortage = Shortage()
+
         def failed_here(problem: OSError) -> None:
             self._count("connect_failed_here")
-            if problem.errno in DESCRIPTORS:
+            if shortage.lasts(problem):
                 self.make_room()
             failed(problem)
 
--- a/sprucenotch/seams/system_errors.py
+++ b/sprucenotch/seams/system_errors.py
@@ -11,8 +11,8 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import TypeVar
 
-DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE))  # this process, or the machine, has no more
-EXHAUSTED = DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}  # or no memory
+# This process, or the machine, has no more descriptors, or no memory.
+EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 # Making a connection failed before any packet left: local ports, routes, packet filters.
 LOCAL = EXHAUSTED | {
     errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.ENETDOWN, errno.ENETUNREACH,
@@ -23,6 +23,7 @@
 
 T = TypeVar("T")
 
+FAILURES_BEFORE_ROOM = 2  # in a row: one alone may pass by itself
 FIRST_PAUSE = 0.005  # seconds before the first repetition of a failed call
 MAX_PAUSE = 0.08  # seconds; each pause is twice the one before, up to this
 
@@ -37,6 +38,25 @@
     return isinstance(problem, OSError) and problem.errno in LOCAL
 
 
+class Shortage:
+    """Failures of one call in a row. The first may pass by itself; from the next on, where descriptors or
+    memory are what it lacks, something has to make room."""
+
+    __slots__ = ("_failures",)
+
+    def __init__(self) -> None:
+        self._failures = 0
+
+    def lasts(self, problem: OSError) -> bool:
+        """Count a failure. Whether room is to be made."""
+        self._failures += 1
+        return is_exhaustion(problem) and self._failures >= FAILURES_BEFORE_ROOM
+
+    def ends(self) -> None:
+        """The call has succeeded."""
+        self._failures = 0
+
+
 def ignore(problem: OSError) -> None:
     """For failures that nobody needs to hear of."""
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -569,6 +569,9 @@
         self.timers.append(Handle(after, call, args))
         return self.timers[-1]
 
+    def time(self) -> float:
+        return 0.0
+
     def tick(self) -> None:
         due, self.timers = [t for t in self.timers if not t.cancelled], []
         for timer in due:
