--- a/sprucenotch/rig/syscalls.py
+++ b/sprucenotch/rig/syscalls.py
@@ -50,6 +50,7 @@
     call: Call
     error: int
     every: int
+    at_once: bool = False  # the next call is the first to fail, in place of the one that makes `every`
 
     def __str__(self) -> str:
         name = "short" if self.error == SHORT else errno.errorcode[self.error]
@@ -98,7 +99,8 @@
 
     def fail(self, rule: Rule) -> None:
         """From now on, in place of an earlier rule of the same kind of call."""
-        self._RULE.pack_into(self._map, self._place(rule.call), rule.every, rule.error, 0, 0)
+        seen = rule.every - 1 if rule.at_once else 0
+        self._RULE.pack_into(self._map, self._place(rule.call), rule.every, rule.error, seen, 0)
 
     def heal(self, call: Call) -> None:
         """Let these calls succeed again. How many had failed stays to be read."""
