Recovery: the call for a handover is read and written by the program's own transport

Cause: predecessor._call used the event library's streams, and connected once. Change: it asks over node.connection.Connection, as discovery's calls do (Connection.ask, which both now share), and a connect that fails on this machine is tried again within CALL_WITHIN. An answer that tells more than may be taken is unreadable at its head.

--- a/sprucenotch/node/connection.py
+++ b/sprucenotch/node/connection.py
@@ -107,6 +107,16 @@
             self._went()
         return True
 
+    async def ask(self, request: bytes) -> Answer | None:
+        """Send a request and wait for its answer: None where the connection breaks first."""
+        answered: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+
+        def done(answer: Answer | None) -> None:
+            if not answered.done():
+                answered.set_result(answer)
+
+        return await answered if self.send(request, done) else None
+
     def close(self) -> None:
         self._end_sending()
         self._done, self._free, self._rest = None, nothing, None
@@ -291,7 +301,8 @@
 
     def _start_long(self, length: int | None) -> None:
         if not self.streams or self._status != 200:
-            if self._size > self.body_most:
+            told_too_long = not self.streams and length is not None and length > self.body_most
+            if told_too_long or self._size > self.body_most:
                 raise ValueError("answer too long")
             return
         self._rest = Stream(self._hold, length, self.close)
--- a/sprucenotch/node/discovery.py
+++ b/sprucenotch/node/discovery.py
@@ -258,14 +258,8 @@
                     connection.close()
                 connection = await self._connect(address)
             connection.body_most = LIST_MOST
-            answered: asyncio.Future[Answer | None] = self._loop.create_future()
-
-            def done(answer: Answer | None) -> None:
-                if not answered.done():
-                    answered.set_result(answer)
-
             async with asyncio.timeout(timeout):
-                answer = await answered if connection.send(request, done) else None
+                answer = await connection.ask(request)
         except BaseException as problem:
             if connection is not None:
                 connection.close()
--- a/sprucenotch/recovery/predecessor.py
+++ b/sprucenotch/recovery/predecessor.py
@@ -14,8 +14,11 @@
 from typing import NamedTuple, TypeVar
 
 from sprucenotch.node.config import Address
+from sprucenotch.node.connection import UNREADABLE, Answer, Connection
+from sprucenotch.node.transport import connect
 from sprucenotch.recovery.memory import Kept, decode
 from sprucenotch.seams.disk import Disk
+from sprucenotch.seams.system_errors import retried
 from sprucenotch.store.reading import Owner, Schema, read
 
 PATH = "/api/handover"
@@ -89,31 +92,30 @@
     """What it answers to a call."""
     try:
         async with asyncio.timeout(CALL_WITHIN):
-            status, body = await _call(address)
+            answer = await _call(address)
     except TimeoutError:
         return Told((), ("no answer",))
-    except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.LimitOverrunError) as problem:
+    except OSError as problem:
         return Told((), (str(problem) or type(problem).__name__,))
-    if status != 200:
-        return Told((), (f"status {status}",))
+    if answer is None:
+        return Told((), ("no answer",))
+    if answer is UNREADABLE:
+        return Told((), (f"no HTTP answer of up to {BODY_MOST} bytes",))
+    if answer.status != 200:
+        return Told((), (f"status {answer.status}",))
     try:
-        return Told((decode(body),))
+        return Told((decode(answer.body),))
     except ValueError as problem:
         return Told((), (f"malformed: {problem}",))
 
 
-async def _call(address: Address) -> tuple[int, bytes]:
-    reader, writer = await asyncio.open_connection(*address)
+async def _call(address: Address) -> Answer | None:
+    connection = Connection()
+    connection.body_most = BODY_MOST
+    await retried(lambda: connect(connection, address), CALL_WITHIN)
     try:
-        writer.write(f"GET {PATH} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n".encode())
-        head = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
-        status = int(head[0].split(b" ")[1])
-        sizes = [line.split(b":")[1] for line in head if line.lower().startswith(b"content-length:")]
-        size = int(sizes[0]) if sizes else 0
-        if not 0 <= size <= BODY_MOST:
-            raise ValueError(f"{size} bytes")
-        return status, await reader.readexactly(size)
-    except IndexError:
-        raise ValueError("no HTTP answer") from None
+        return await connection.ask(
+            f"GET {PATH} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n".encode()
+        )
     finally:
-        writer.close()
+        connection.close()
