--- /dev/null
+++ b/tests/test_recorder.py
@@ -0,0 +1,66 @@
+"""The record of a disk's operations, by which a power cut is judged, is whole whatever the disk's own calls
+do.
+
+What happened: runs of the hunt that met a power cut and short writes crashed with `msgspec.DecodeError:
+Input data was truncated` and did not count. Why: the record is written by the process under test, whose
+short writes tore it.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from sprucenotch.rig import syscalls
+from sprucenotch.rig.revision import ROOT
+from sprucenotch.rig.syscalls import SHORT, Call, Control, Rule
+from sprucenotch.rig.volume import replay
+from sprucenotch.seams.disk import RealDisk
+from sprucenotch.seams.recorded import Operation, Recorded
+from tests.failing_calls import needs_compiler
+
+WRITES = 20
+KEEPS = """
+import contextlib, sys
+from pathlib import Path
+from sprucenotch.seams.disk import RealDisk
+from sprucenotch.seams.recorded import Recorded
+folder, record = map(Path, sys.argv[1:3])
+disk = Recorded(RealDisk(folder), record)
+file = disk.open("journal")
+for number in range(20):
+    with contextlib.suppress(OSError):
+        file.write(b"%04d" % number * 100)
+disk.sync_names()
+"""
+
+
+def test_a_record_whose_writes_are_short_is_whole(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = os.write
+    recorded = Recorded(RealDisk(tmp_path), tmp_path / "sidecar.operations")
+    monkeypatch.setattr(os, "write", lambda fd, data: real(fd, bytes(data)[:7]))
+    recorded.tell(Operation("open", "journal"))
+    for number in range(WRITES):
+        recorded.tell(Operation("write", "journal", data=b"%04d" % number))
+    monkeypatch.undo()
+    volume = replay((tmp_path / "sidecar.operations").read_bytes())
+    assert volume.read("journal") == b"".join(b"%04d" % number for number in range(WRITES))
+
+
+@needs_compiler
+def test_a_record_is_spared_where_the_writes_of_its_process_fail(tmp_path: Path) -> None:
+    control = Control(syscalls.build(tmp_path), tmp_path / "calls")
+    environment = {**os.environ, **control.environment}
+    for name, error in {"short": SHORT, "full": errno.ENOSPC, "broken": errno.EIO}.items():
+        control.fail(Rule(Call.FILE_WRITE, error, 2))
+        folder, record = tmp_path / name, tmp_path / f"{name}.operations"
+        folder.mkdir()
+        subprocess.run((sys.executable, "-c", KEEPS, folder, record), env=environment, cwd=ROOT, check=True)
+        assert replay(record.read_bytes()).read("journal") == (folder / "journal").read_bytes(), name
+        assert control.failed(Call.FILE_WRITE) > 0
+    control.close()
