--- a/sprucenotch/rig/state.py
+++ b/sprucenotch/rig/state.py
@@ -25,7 +25,7 @@
         return self._folder / f"{name}.state"
 
     def _record(self, name: str) -> Path:
-        return self._folder / f"{name}.operations"
+        return self._folder / f"{name}.operations"  # a name that syscalls.c knows
 
     def told(self, name: str, predecessor: str) -> dict[str, Any]:
         """What a sidecar's configuration has of it. `predecessor`: the management address of its process
--- a/sprucenotch/rig/syscalls.c
+++ b/sprucenotch/rig/syscalls.c
@@ -42,6 +42,10 @@
 };
 
 static struct control *control;
+/* The descriptor of the file in which the testbed records the operations of a disk (state.py): none of its calls
+ * fails, or it would tell of a disk that never was. */
+#define RECORD_SUFFIX ".operations"
+static atomic_int recorder = -1;
 /* Whether the process listens: before, the interpreter loads its modules, and ends where one cannot be read, and the
  * event loop's library sets itself up, and ends where it cannot. */
 static atomic_int listens;
@@ -94,7 +98,7 @@
 /* What a transfer on this descriptor counts as: CALLS for one that never fails. */
 static enum call transfer(int fd, enum call on_socket, enum call on_file)
 {
-    if (control == NULL)
+    if (control == NULL || fd == atomic_load(&recorder))
         return CALLS;
     mode_t type = type_of(fd);
     if (type == S_IFREG)
@@ -280,8 +284,23 @@
     return REAL(poll)(polled, count, timeout);
 }
 
+static int is_record(const char *path)
+{
+    size_t size = strlen(path), suffix = strlen(RECORD_SUFFIX);
+    return size >= suffix && strcmp(path + size - suffix, RECORD_SUFFIX) == 0;
+}
+
+static int opened(const char *path, int fd)
+{
+    if (fd >= 0 && is_record(path))
+        atomic_store(&recorder, fd);
+    return fd;
+}
+
 static int open_failure(const char *path)
 {
+    if (is_record(path))
+        return 0;
     if (!atomic_load(&listens) && (strstr(path, "/lib/") != NULL || strstr(path, ".py") != NULL))
         return 0;
     return failure(OPEN);
@@ -308,7 +327,7 @@
     va_start(more, flags);
     int mode = mode_of(flags, more);
     va_end(more);
-    return REAL(open64)(path, flags, mode);
+    return opened(path, REAL(open64)(path, flags, mode));
 }
 
 int open(const char *path, int flags, ...)
@@ -318,7 +337,7 @@
     va_start(more, flags);
     int mode = mode_of(flags, more);
     va_end(more);
-    return REAL(open)(path, flags, mode);
+    return opened(path, REAL(open)(path, flags, mode));
 }
 
 int openat64(int folder, const char *path, int flags, ...)
@@ -328,7 +347,7 @@
     va_start(more, flags);
     int mode = mode_of(flags, more);
     va_end(more);
-    return REAL(openat64)(folder, path, flags, mode);
+    return opened(path, REAL(openat64)(folder, path, flags, mode));
 }
 
 int fsync(int fd)
--- a/sprucenotch/seams/recorded.py
+++ b/sprucenotch/seams/recorded.py
@@ -28,7 +28,9 @@
 
     def tell(self, operation: Operation) -> None:
         raw = msgspec.msgpack.encode(operation)
-        os.write(self._record, len(raw).to_bytes(4, "big") + raw)
+        left = memoryview(len(raw).to_bytes(4, "big") + raw)
+        while left:  # a write may take a part only
+            left = left[os.write(self._record, left) :]
 
     def names(self) -> list[str]:
         return self._disk.names()
