--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -347,7 +347,7 @@
             action.endpoint,
             partial(request.payload, self.now),
             done,
-            self._written,
+            partial(self._written, request),
             request,
             request.upload,
         )
@@ -381,8 +381,14 @@
             )
         attempt.hasten(time.monotonic_ns() + int((request.until - request.sent_at) * HELD_SHARE))
 
-    def _written(self) -> None:
+    def _written(self, request: Open) -> None:
+        """The last byte of an attempt has gone out."""
         self.telemetry.upstream_tries += 1
+        if log.isEnabledFor(logging.DEBUG):
+            tell(
+                log, logging.DEBUG, "sent", request=request.id, req_id=request.name,
+                attempt=request.attempts, server=self.upstream.name(request.endpoint),
+            )  # fmt: skip
 
     def _moot(self, action: api.Send, request: Open | None) -> None:
         over = request is None or request.answered
--- a/sprucenotch/node/poller.py
+++ b/sprucenotch/node/poller.py
@@ -122,14 +122,11 @@
             return
         for fd, reported in events:
             watch = self._watches.get(fd)  # the one before may have ended it
-            if (
-                watch is None
-                or not (ready := reported & (watch.wanted | ALWAYS_REPORTED))
-                or not watch.wanted
-            ):
+            if watch is None or not (wanted := watch.wanted):
                 continue
             try:
-                watch.ready(ready)
+                if ready := reported & (wanted | ALWAYS_REPORTED):
+                    watch.ready(ready)
             except Exception:  # a fault at one descriptor must not keep the others from being told
                 log.exception("fault", extra={"fields": {"handling": "readiness"}})
 
--- a/sprucenotch/node/transport.py
+++ b/sprucenotch/node/transport.py
@@ -125,7 +125,7 @@
     def _ready(self, events: int) -> None:
         if events & ~EPOLLOUT and self._watch.wanted & EPOLLIN:
             self._read()
-        if events & ~EPOLLIN and self._watch.wanted & EPOLLOUT:
+        if events != EPOLLIN and self._watch.wanted & EPOLLOUT:
             self._send_rest()
 
     # ---- reading
@@ -186,24 +186,22 @@
         if self._unsent:
             self._unsent += data
             return
-        sent = self._send(data)
+        try:
+            sent = self._socket.send(data)
+        except OSError as problem:
+            sent = self._not_sent(problem)
         if sent < len(data) and not self._over:
             self._unsent += memoryview(data)[sent:]
             self._update_watch()
             self._protocol.pause_writing()
 
-    def _send(self, data: bytes | bytearray | memoryview) -> int:
-        """How much of it the kernel takes now."""
-        try:
-            sent = self._socket.send(data)
-        except BlockingIOError:
+    def _not_sent(self, problem: OSError) -> int:
+        """The kernel took nothing. The number of bytes sent: 0."""
+        if isinstance(problem, BlockingIOError):
             self._failing_write = None
-            return 0
-        except OSError as problem:
+        else:
             self._write_failed(problem)
-            return 0
-        self._failing_write = None
-        return sent
+        return 0
 
     def _write_failed(self, problem: OSError) -> None:
         if is_exhaustion(problem):
@@ -218,8 +216,11 @@
         if self._over:
             return
         if self._unsent:
-            with memoryview(self._unsent) as unsent:
-                sent = self._send(unsent)
+            try:
+                sent = self._socket.send(self._unsent)
+                self._failing_write = None
+            except OSError as problem:
+                sent = self._not_sent(problem)
             if self._over:
                 return
             del self._unsent[:sent]
--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -48,7 +48,7 @@
     folder: Path, dial: str, *rules: syscalls.Rule, wall_offset: int = 0, **changes: Any
 ) -> AsyncIterator[Program]:
     """Start the program with these rules in force from its first system call on."""
-    told = configuration(dial, listen=dead_dial(), **changes)
+    told = configuration(dial, **({"listen": dead_dial()} | changes))
     file = folder / "config.json"
     file.write_text(json.dumps(told))
     control = Control(syscalls.build(folder), folder / "calls")
