--- a/sprucenotch/cli/hunt.py
+++ b/sprucenotch/cli/hunt.py
@@ -30,15 +30,19 @@
         str, typer.Option(help="That starts a sidecar, in place of this tree's own; for planted faults.")
     ] = "",
     smaller: Annotated[bool, typer.Option(help="Make the first schedule that breaks a rule smaller.")] = True,
+    trace: Annotated[
+        bool, typer.Option("--trace", help="Have sidecars log each attempt, and match it with the servers.")
+    ] = False,
     again: Annotated[int, typer.Option(help="Play a smaller one again so often.", min=1, max=50)] = 5,
 ) -> None:
     """Play runs with faults that overlap, drawn by seed, and tell what they broke. Runs that are in the store
-    are not done again; Ctrl-C keeps what is done. Exit code 1 where something was broken."""
+    are not done again; Ctrl-C keeps what is done. Exit code 1 where something was broken, 4 where nothing was
+    but a run of the testbed itself crashed."""
     length = units.parse(lasts, units.NANOSECONDS)
     if length is None or not MIN_LENGTH <= length / 1e9 <= MAX_LENGTH:
         fail(Exit.BAD_INPUT, f"--for is {lasts!r}, where a time from 8s to 600s is allowed")
     wanted = seeds_of(seeds)
-    held = Campaign(store, folder, length / 1e9, jobs, command)
+    held = Campaign(store, folder, length / 1e9, jobs, command, trace)
     interrupted = False
     failed: list[Failed] = []
     try:
@@ -51,13 +55,17 @@
     found = campaign.finds(rows, failed)
     for find in found:
         print(told(find, lasts, command, folder))
-    print(summed(campaign.total(rows), found))
+    crashes = [one for one in failed if one.crashed]
+    for crash in crashes:
+        print(f"CRASHED, proves nothing: seed {crash.job.seed}: {crash.said}")
+        print(f"  its trace and logs: {folder}/failed")
+    print(summed(campaign.total(rows, failed), found))
     if interrupted:
         fail(Exit.INTERRUPTED, f"interrupted; what was done is in {store}, and the same command goes on")
     if smaller:
         for find in {find.rule: find for find in reversed(found)}.values():
             _make_smaller(held, find, again, folder)
-    raise typer.Exit(Exit.NO if found else Exit.FINE)
+    raise typer.Exit(Exit.NO if found else Exit.LATE if crashes else Exit.FINE)
 
 
 def _play(held: Campaign, wanted: list[int]) -> list[Failed]:
@@ -85,6 +93,7 @@
     lines = [
         f"{total.runs} runs of {total.seconds / 60:.1f} minutes in all, {total.late} more did not count; "
         f"{total.requests} requests; {len(found)} finds",
+        *(f"  not played to the end, {reason}: {count}" for reason, count in total.not_played.items()),
         f"  faults: {faults}",
     ]
     for rule, count in total.judged.most_common():
--- a/sprucenotch/rig/hunt/campaign.py
+++ b/sprucenotch/rig/hunt/campaign.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from msgspec import Struct, field
+from msgspec import Struct, field, structs
 
 from sprucenotch.rig import sweep
 from sprucenotch.rig.hunt.draw import Schedule, schedule
@@ -18,6 +18,7 @@
 from sprucenotch.rig.truth.ledger import Finding
 
 DEAD = "ended or did not start"  # the rule that a run breaks which cannot go on
+CRASHED = "the testbed crashed"  # no find: the run proves nothing
 MAX_EXCUSED = 0.2  # share of what a rule judges; above, the rule has a hole
 
 
@@ -35,6 +36,7 @@
 
     runs: int = 0
     late: int = 0  # do not count: the rig did not keep up
+    not_played: Counter[str] = field(default_factory=Counter)  # to their end, by reason
     seconds: float = 0.0
     requests: int = 0
     faults: Counter[str] = field(default_factory=Counter)
@@ -63,14 +65,19 @@
 class Campaign:
     """Plays schedules of a length, so many side by side, with sidecars started by `command`."""
 
-    def __init__(self, store: Path, folder: Path, length: float, jobs: int, command: str = "") -> None:
+    def __init__(
+        self, store: Path, folder: Path, length: float, jobs: int, command: str = "", trace: bool = False
+    ) -> None:
+        """`trace`: sidecars log each attempt, and it is matched with what engines took."""
         self._store, self._folder, self._length, self._jobs = store, folder, length, jobs
-        self._command = command
+        self._command, self._trace = command, trace
         self._trials = itertools.count(1)
         folder.mkdir(parents=True, exist_ok=True)
 
     def job(self, planned: Schedule, name: str) -> Job:
         """What plays it; its plan is left in the folder under that name."""
+        if self._trace:
+            planned = structs.replace(planned, fleet={**planned.fleet, "log": "debug"})
         path, text = self._folder / f"{name}.toml", planned.text()
         path.write_text(text)
         return Job(str(path), text, planned.seed, command=self._command)
@@ -83,7 +90,7 @@
         Raises KeyboardInterrupt, with what is done kept."""
         with Store(self._store) as store:
             left = sweep.open_jobs(store, self.jobs(seeds))
-        return await sweep.run(self._store, left, self._jobs, each)
+        return await sweep.run(self._store, left, self._jobs, each, self._folder / "failed")
 
     def rows(self, seeds: Sequence[int]) -> list[Row]:
         """The last run of each seed, also one that does not count."""
@@ -100,7 +107,7 @@
         store = self._folder / f"trials-{jobs[0].plan.rpartition('-')[2]}.sqlite"
         # Each is a job of its own, also where two are the same schedule.
         failed = await sweep.run(store, jobs, self._jobs, lambda job: None)
-        broken = {one.job.plan for one in failed} if rule == DEAD else set[str]()
+        broken = {one.job.plan for one in failed if not one.crashed} if rule == DEAD else set[str]()
         with Store(store) as kept:
             rows = list(kept.rows())
         counts = Counter(row.plan for row in rows if any(f.rule == rule for f in row.result.findings))
@@ -134,13 +141,15 @@
         for finding in row.result.findings:
             by_rule.setdefault(finding.rule, []).append(finding)
         found += [Find(row.result.seed, rule, all_[0], len(all_)) for rule, all_ in by_rule.items()]
-    for one in failed:
+    for one in (one for one in failed if not one.crashed):
         found.append(Find(one.job.seed, DEAD, Finding(DEAD, "", 0.0, one.said), 1))
     return sorted(found, key=lambda find: find.seed)
 
 
-def total(rows: Sequence[Row]) -> Total:
+def total(rows: Sequence[Row], failed: Sequence[Failed] = ()) -> Total:
     added = Total()
+    for one in failed:
+        added.not_played[CRASHED if one.crashed else DEAD] += 1
     for row in rows:
         added.add(row)
     return added
--- a/sprucenotch/rig/plan.py
+++ b/sprucenotch/rig/plan.py
@@ -67,6 +67,8 @@
     revision: str = ""  # of the program; empty for this tree
     engines_apart: bool = False  # each a process of its own; always so where a fault of a process hits one
     discovery_apart: bool = False
+    # debug: each attempt that a sidecar sends is in its log, and matched with what engines took
+    log: Annotated[Literal["info", "debug"], Meta(description="info or debug")] = "info"
 
 
 class Tenant(Struct, frozen=True, kw_only=True):
--- a/sprucenotch/rig/play.py
+++ b/sprucenotch/rig/play.py
@@ -133,6 +133,8 @@
                 }
                 stage.history += recovery.recalled(self.logs, started)
                 stage.history += more_checks.said(self.logs, started)
+                if self.plan.fleet.log == "debug":
+                    stage.history += list(stage.sent_attempts())
         self.total += self._recent
         return self._result(stage.history)
 
--- a/sprucenotch/rig/stage.py
+++ b/sprucenotch/rig/stage.py
@@ -9,10 +9,12 @@
 import tempfile
 import time
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from sprucenotch.rig import capacity, deployment, syscalls
 from sprucenotch.rig.discovery import Discovery, Entry
 from sprucenotch.rig.engine import Cold, Work
@@ -25,7 +27,7 @@
 from sprucenotch.rig.standin import EngineSpec, engine
 from sprucenotch.rig.state import States
 from sprucenotch.rig.syscalls import Control
-from sprucenotch.rig.truth.history import Event
+from sprucenotch.rig.truth.history import Event, Process, Wrote
 from sprucenotch.rig.wiring import Wiring
 
 LOG_KEPT = 256 * 1024  # bytes of each
@@ -129,6 +131,8 @@
             )  # fmt: skip
             if name in self.controls:
                 sidecar.environment = self.controls[name].environment
+                if fleet.log == "debug":
+                    sidecar.environment = {**sidecar.environment, syscalls.SPARE_LOG: "1"}
             sidecar.program = self._own_programs.get(name, program)
             self._first_list[name] = await self.discovery.whole(name)
             self.wiring.join("client", name, lambda sidecar=sidecar: sidecar.listen)  # type: ignore[misc]
@@ -248,6 +252,8 @@
         told |= self.states.told(name, sidecar.mgmt if sidecar.alive else "")
         if name in self.clocks:
             told["clock"] = self.clocks[name]
+        if fleet.log != "info":
+            told["log"] = {"level": fleet.log}
         return told
 
     async def retune(self, name: str, attempts: int | None) -> None:
@@ -285,6 +291,20 @@
                 found[path.stem] = path.read_bytes()[-LOG_KEPT:].decode(errors="replace")
         return found
 
+    def sent_attempts(self) -> Iterator[Wrote]:
+        """The attempts that each process tells of at debug, in their order."""
+        processes = [e for e in self.history if isinstance(e, Process) and e.what == "started"]
+        for name, life, at in ((e.name, e.life, e.at) for e in processes):
+            path = self._folder / f"{name}.{life}.log" if self._folder is not None else None
+            if path is None or not path.exists():
+                continue
+            with path.open("rb") as log:
+                for line in log:
+                    if b'"event":"sent"' in line:
+                        told = msgspec.json.decode(line)
+                        id, number = told["req_id"], told["attempt"]
+                        yield Wrote(at=at, sidecar=name, life=life, id=id, attempt=number)
+
     async def close(self) -> None:
         for sidecar in self.sidecars.values():
             sidecar.close()
--- a/sprucenotch/rig/sweep.py
+++ b/sprucenotch/rig/sweep.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import shutil
 import signal
 import sys
 import tempfile
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import IO, NamedTuple
+from typing import NamedTuple
 
 from sprucenotch.rig import revision
 from sprucenotch.rig.process import Child
 from sprucenotch.rig.store import Row, Store
 
+TRACE = "trace.txt"  # beside the logs of a run that could not be played to its end
+FRAME = " |+-"  # drawn around the members of a group of errors
+ERROR = re.compile(r"[A-Za-z_][\w.]*(Error|Exception|Interrupt|Exit)\b")
+
 
 class Job(NamedTuple):
     plan: str  # a file or a shipped scenario, as it was named
@@ -24,9 +30,13 @@
 
 
 class Failed(NamedTuple):
+    """A run that could not be played to its end."""
+
     job: Job
     code: int
-    said: str
+    said: str  # the error, in one line
+    trace: str = ""  # all that the run said
+    crashed: bool = False  # by a fault of the testbed itself, and no process under test
 
 
 def open_jobs(store: Store, jobs: Sequence[Job]) -> list[Job]:
@@ -55,10 +65,16 @@
     return {job: (job.source, names[job.revision]) for job in jobs}
 
 
-async def run(store: Path, jobs: Sequence[Job], width: int, each: Callable[[Job], None]) -> list[Failed]:
-    """Run them, so many side by side, in their order; `each` hears of every one that ended. Those that
-    could not be played are returned. SIGINT and SIGTERM end all that is under way and raise
-    KeyboardInterrupt."""
+async def run(
+    store: Path,
+    jobs: Sequence[Job],
+    width: int,
+    each: Callable[[Job], None],
+    evidence: Path | None = None,
+) -> list[Failed]:
+    """Run them, so many side by side, in their order; `each` hears of every one that ended. Those that could
+    not be played are returned; their traces and their processes' logs are left in the folder `evidence`.
+    SIGINT and SIGTERM end all that is under way and raise KeyboardInterrupt."""
     loop, stopped, failed = asyncio.get_running_loop(), asyncio.Event(), list[Failed]()
     queue, children = list(jobs), set[Child]()
     for number in (signal.SIGINT, signal.SIGTERM):
@@ -72,6 +88,9 @@
                 words += ["--revision", job.revision]
             if job.command:
                 words += ["--command", job.command]
+            kept = None if evidence is None else evidence / f"{Path(job.plan).stem}-{job.seed}"
+            if kept is not None:
+                words += ["--keep", str(kept)]
             with tempfile.TemporaryFile() as complaints:
                 child = Child((sys.executable, "-m", "sprucenotch", *words), stderr=complaints)
                 children.add(child)
@@ -80,7 +99,14 @@
                 # A run that ends by a fault of its own has code 1 as well, and says so.
                 crashed = code == 1 and complaints.tell() > 0
                 if (code not in (0, 1, 4) or crashed) and not stopped.is_set():
-                    failed.append(Failed(job, code, _last_line(complaints)))
+                    complaints.seek(0)
+                    trace = complaints.read().decode(errors="replace").strip()
+                    failed.append(Failed(job, code, error_of(trace), trace, crashed))
+                    if kept is not None:
+                        kept.mkdir(parents=True, exist_ok=True)
+                        (kept / TRACE).write_text(trace + "\n")
+                elif kept is not None:
+                    shutil.rmtree(kept, ignore_errors=True)
             each(job)
 
     workers = [asyncio.create_task(worker()) for _ in range(width)]
@@ -97,7 +123,10 @@
     return failed
 
 
-def _last_line(file: IO[bytes]) -> str:
-    file.seek(0)
-    lines = file.read().decode(errors="replace").strip().splitlines()
-    return lines[-1] if lines else "it said nothing"
+def error_of(trace: str) -> str:
+    """The line of a trace that names its error: the last one, also within a group of errors, whose frame is
+    no word of it."""
+    lines = [line.strip(FRAME) for line in trace.splitlines()]
+    lines = [line for line in lines if line]
+    named = [line for line in lines if ERROR.match(line)]
+    return (named or lines or ["it said nothing"])[-1]
--- a/sprucenotch/rig/syscalls.c
+++ b/sprucenotch/rig/syscalls.c
@@ -46,12 +46,14 @@
  * fails, or it would tell of a disk that never was. */
 #define RECORD_SUFFIX ".operations"
 static atomic_int recorder = -1;
+static int spare_log; /* no write to standard error fails: what the log tells is compared with what others saw */
 /* Whether the process listens: before, the interpreter loads its modules, and ends where one cannot be read, and the
  * event loop's library sets itself up, and ends where it cannot. */
 static atomic_int listens;
 
 __attribute__((constructor)) static void attach(void)
 {
+    spare_log = getenv("SPRUCENOTCH_SPARE_LOG") != NULL;
     const char *path = getenv("SPRUCENOTCH_SYSCALLS");
     if (path == NULL)
         return;
@@ -98,7 +100,7 @@
 /* What a transfer on this descriptor counts as: CALLS for one that never fails. */
 static enum call transfer(int fd, enum call on_socket, enum call on_file)
 {
-    if (control == NULL || fd == atomic_load(&recorder))
+    if (control == NULL || fd == atomic_load(&recorder) || (spare_log && fd == STDERR_FILENO))
         return CALLS;
     mode_t type = type_of(fd);
     if (type == S_IFREG)
--- a/sprucenotch/rig/syscalls.py
+++ b/sprucenotch/rig/syscalls.py
@@ -19,6 +19,7 @@
 from sprucenotch.rig.process import RigError
 
 SOURCE = Path(__file__).with_name("syscalls.c")
+SPARE_LOG = "SPRUCENOTCH_SPARE_LOG"  # in the environment: no write to standard error fails
 SHORT = -1  # in place of an error: the call moves a single byte
 COMPILE_TIMEOUT = 60.0  # seconds
 
--- a/sprucenotch/rig/truth/history.py
+++ b/sprucenotch/rig/truth/history.py
@@ -61,6 +61,16 @@
     deadline: float = 0.0  # seconds that the sidecar says it waits, as it was taken
 
 
+class Wrote(Happening, frozen=True, kw_only=True):
+    """A sidecar tells in its log that the last byte of an attempt has gone out. `at`: the start of its
+    process, as the clock of its log may step."""
+
+    sidecar: str
+    life: int
+    id: str
+    attempt: int  # from 1 on
+
+
 class Left(Happening, frozen=True, kw_only=True):
     """A client closed its connection before its answer."""
 
@@ -146,8 +156,8 @@
 
 
 Event: TypeAlias = (
-    Sent | Ended | Surplus | Ran | Left | Stuck | Said | Listed | Told | Process | Recalled | Fault | Figures
-    | Lag
+    Sent | Ended | Surplus | Ran | Wrote | Left | Stuck | Said | Listed | Told | Process | Recalled | Fault
+    | Figures | Lag
 )  # fmt: skip
 
 
--- a/sprucenotch/rig/truth/more_checks.py
+++ b/sprucenotch/rig/truth/more_checks.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
 from typing import Literal
 
-from sprucenotch.rig.truth.history import Left, Process, Ran, Said, Sent, Stuck
+from sprucenotch.rig.truth.history import Left, Process, Ran, Said, Sent, Stuck, Wrote
 from sprucenotch.rig.truth.ledger import Finding, Ledger
 
 LEFT_GRACE = 0.1  # seconds after a close in which an attempt may still begin
@@ -106,6 +107,35 @@
                     yield Finding(self.rule, name, ready.at, said)
 
 
+class Untold:
+    """No engine takes an attempt that its sidecar does not know to have gone out whole: it would count as one
+    that never ran, and be sent again. Judged where sidecars log each attempt."""
+
+    rule = "attempt untold"
+
+    def check(self, ledger: Ledger) -> Iterator[Finding]:
+        wrote = Counter((one.sidecar, one.life, one.id) for one in ledger.of(Wrote))
+        traced = {(sidecar, life) for sidecar, life, _ in wrote}
+        for id, ran in ledger.ran.items():
+            sends = ledger.sends.get(id, [])
+            if len(sends) != 1 or (sends[0].sidecar, sends[0].life) not in traced:
+                continue
+            sent = sends[0]
+            taken = sum(one.step == "taken" for one in ran)
+            told = wrote[sent.sidecar, sent.life, id]
+            if taken > told and self._unsure(ledger, sent):
+                ledger.excused[self.rule] += 1
+                continue
+            ledger.judged[self.rule] += 1
+            if taken > told:
+                said = f"{id}: engines took {taken} attempts, {sent.sidecar} tells of {told}"
+                yield ledger.finding(self.rule, id, said)
+
+    def _unsure(self, ledger: Ledger, sent: Sent) -> bool:
+        """Whether the process was killed before it could tell, or another of its name had the request."""
+        return any(p.life != sent.life or p.what == "killed" for p in ledger.processes[sent.sidecar])
+
+
 class OwnWords:
     """No process tells of a rule that it broke, or of a fault in itself."""
 
@@ -138,5 +168,5 @@
             yield Said(at=started[name, life], sidecar=name, life=life, what=what, text=line[:SHOWN])
 
 
-def more() -> tuple[Abandoned, Deadlines, Unended, Ready, OwnWords]:
-    return (Abandoned(), Deadlines(), Unended(), Ready(), OwnWords())
+def more() -> tuple[Abandoned, Deadlines, Unended, Ready, Untold, OwnWords]:
+    return (Abandoned(), Deadlines(), Unended(), Ready(), Untold(), OwnWords())
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -5,6 +5,7 @@
 import asyncio
 import subprocess
 import sys
+import traceback
 from collections import Counter
 from collections.abc import Callable, Sequence
 from itertools import pairwise
@@ -13,7 +14,7 @@
 import pytest
 import uvloop
 
-from sprucenotch.rig import plan, syscalls
+from sprucenotch.rig import plan, sweep, syscalls
 from sprucenotch.rig.hunt import campaign, shrink
 from sprucenotch.rig.hunt.draw import FAMILIES, Schedule, kind, schedule
 from sprucenotch.rig.play import Play, Result
@@ -101,6 +102,28 @@
     assert [(find.seed, find.rule, find.times) for find in found] == [(2, "lost", 2), (4, campaign.DEAD, 1)]
 
 
+def test_a_crash_of_the_testbed_is_no_find_and_counts_by_its_reason() -> None:
+    crash = Failed(Job("p", "s", 4), 1, "msgspec.DecodeError: Input data was truncated", "...", crashed=True)
+    dead = Failed(Job("p", "s", 5), 5, "sidecar-1 ended with code 1")
+    assert [(find.seed, find.rule) for find in campaign.finds([], [crash, dead])] == [(5, campaign.DEAD)]
+    added = campaign.total([], [crash, dead, crash])
+    assert added.not_played == {campaign.CRASHED: 2, campaign.DEAD: 1}
+
+
+def test_the_error_of_a_crash_is_named_also_within_a_group_of_errors() -> None:
+    def fails() -> None:
+        raise ExceptionGroup("of tasks", [msgspec.DecodeError("Input data was truncated")])
+
+    try:
+        fails()
+    except ExceptionGroup:
+        trace = traceback.format_exc()
+    assert trace.splitlines()[-1].strip() == "+------------------------------------"
+    assert sweep.error_of(trace).endswith("DecodeError: Input data was truncated")
+    assert sweep.error_of("sprucenotch: no such plan") == "sprucenotch: no such plan"
+    assert sweep.error_of("") == "it said nothing"
+
+
 def test_the_planted_faults_still_fit_the_program() -> None:
     """Each undoes a mend by a patch; one whose place is gone would plant nothing."""
     words = "from tests.planted_hunt import FAULTS; [plant() for plant, _ in FAULTS.values()]"
