--- a/sprucenotch/node/transport.py
+++ b/sprucenotch/node/transport.py
@@ -123,9 +123,12 @@
         self._watch.want(events)
 
     def _ready(self, events: int) -> None:
+        if events == EPOLLIN:
+            self._read()
+            return
         if events & ~EPOLLOUT and self._watch.wanted & EPOLLIN:
             self._read()
-        if events != EPOLLIN and self._watch.wanted & EPOLLOUT:
+        if self._watch.wanted & EPOLLOUT:
             self._send_rest()
 
     # ---- reading
