--- a/tests/test_failing_transfers.py
+++ b/tests/test_failing_transfers.py
@@ -45,3 +45,18 @@
 def test_no_request_is_lost_where_readiness_cannot_be_asked_for(tmp_path: Path) -> None:
     """epoll_ctl fails, as epoll_ctl(2) documents it. The event library ended the process with SIGABRT."""
     run(no_request_is_lost_where(Call.EPOLL_CTL, NO_WATCHES, tmp_path))
+
+
+def test_a_process_that_is_done_ends_with_0_though_nothing_can_be_watched_any_more(tmp_path: Path) -> None:
+    """The runner of the event library started its loop twice more after the last answer, for generators and
+    threads that there are none of, and each start registers a descriptor: exit code 1 and a trace, `Cannot
+    close a running event loop`."""
+
+    async def test() -> None:
+        async with serving_sizes(tmp_path) as sidecar:
+            assert await failures_of_a_mixed_load(sidecar) == []
+            sidecar.control.fail(Rule(Call.EPOLL_CTL, errno.ENOMEM, 1))
+            sidecar.process.terminate()
+            assert await sidecar.process.wait() == 0
+
+    run(test())
