Serve: the end of a process does not start its loop again; failures of the loop are events

Symptom: with epoll_ctl failing a process that had answered all ended with 1 and 'Cannot close a running event loop'; a signal's wake-up that could not be read printed a trace. Cause: uvloop.run starts the loop twice more after serve, and each start registers a descriptor. Change: serve_to_the_end ends the tasks that are left within the one run; tell_failure logs what the loop reports.

--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -30,7 +30,7 @@
 from sprucenotch.node.poller import running_poller
 from sprucenotch.node.reload import LOAD_TIMEOUT, Reload
 from sprucenotch.seams import clock
-from sprucenotch.seams.system_errors import pauses
+from sprucenotch.seams.system_errors import is_exhaustion, pauses
 
 ACCEPT_ON = 0.6  # after SIGTERM new connections come for 0.2 to 0.4 s more
 
@@ -118,6 +118,29 @@
     event(log, logging.INFO, "drained")
 
 
+async def serve_to_the_end(config: Config) -> None:
+    """Serve, then end the tasks that go on by themselves. All in one run of the loop: each start of it
+    registers descriptors with the kernel, which may fail, and there is nothing left to lose by then."""
+    asyncio.get_running_loop().set_exception_handler(tell_failure)
+    try:
+        await serve(config)
+    finally:
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+
+def tell_failure(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log what the event loop could not do. A signal's wake-up that cannot be read for want of memory is
+    read in the next turn; whatever else is a fault."""
+    problem = context.get("exception")
+    if problem is not None and is_exhaustion(problem):
+        event(log, logging.WARNING, "event loop, tried again", what=context["message"], why=str(problem))
+    else:
+        loop.default_exception_handler(context)
+
+
 def on_signal(loop: asyncio.AbstractEventLoop, number: signal.Signals, act: Callable[[], object]) -> None:
     """Have the loop act on a signal. The loop's own handlers are told of it by a write to a socket alone, and
     one that fails loses the signal; the interpreter's handler runs with the next turn all the same, which the
@@ -150,8 +173,10 @@
         return 2
     logging_as(config.log)
     gc.freeze()  # what is loaded by now stays: the collector need not go over it again
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
     try:
-        uvloop.run(serve(config))
+        loop.run_until_complete(serve_to_the_end(config))
     except OSError as problem:
         print(f"sprucenotch: {problem}", file=sys.stderr)
         return 3
