--- a/sprucenotch/rig/faults.py
+++ b/sprucenotch/rig/faults.py
@@ -84,7 +84,7 @@
     call: Annotated[
         Literal[
             "accept", "socket", "connect", "connected", "read", "write", "shutdown", "wait", "open",
-            "file_write", "sync", "rename", "datagram", "listen", "bind",
+            "file_write", "sync", "rename", "datagram", "listen", "bind", "epoll_ctl",
         ],
         Meta(description="a kind of system call, such as accept"),
     ]  # fmt: skip
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -39,6 +39,11 @@
     assert code == 0 and "XFAIL test_it.py::test_fails - the cause of it (#7)" in said
 
 
+def test_a_command_by_hand_is_printed_and_not_played(tmp_path: Path) -> None:
+    code, said = played(tmp_path, f"{RED}\n$ bench SITE --seed 41 | lost, 26 times | #7\n")
+    assert code == 0 and "KNOWN RED, not played here: $ bench SITE --seed 41 - lost, 26 times (#7)" in said
+
+
 @pytest.mark.parametrize(
     ("lines", "why"),
     [
