--- a/benchmarks/failing_calls.py
+++ b/benchmarks/failing_calls.py
@@ -14,7 +14,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import errno
 import itertools
 import signal
@@ -39,6 +38,7 @@
     Call.EPOLL_CTL: ("ENOMEM", "ENOSPC"),
 }
 HELD = 20  # requests under way as a process is told to stop
+READY = b"GET /api/ready HTTP/1.1\r\n\r\n"
 NEW_EACH = 0.02  # seconds between two new connections while one process hands over to the next
 RUN_TIMEOUT = 40.0  # seconds
 
@@ -100,10 +100,10 @@
                 await asyncio.sleep(NEW_EACH)
 
         reloading = asyncio.ensure_future(reload())
-        failed = await failures_of_a_mixed_load(sidecar, idle_may_close=True)
-        reloading.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await reloading
+        try:
+            failed = await failures_of_a_mixed_load(sidecar, idle_may_close=True)
+        finally:
+            reloading.cancel()
         alive(sidecar)
         return len(failed), HELD
 
@@ -164,26 +164,26 @@
         in_force(before, rules)
         loading = asyncio.ensure_future(load())
         state = {"predecessor": management}
-        async with program(
-            second,
-            served.dial,
-            *rules,
-            discovery=discovery.dial,
-            listen=listen,
-            mgmt=dead_dial(),
-            state=state,
-        ) as successor:
-            await (await connected(str(successor.told["mgmt"]))).ask(b"GET /api/ready HTTP/1.1\r\n\r\n")
-            await asyncio.sleep(0.5)
-            before.process.terminate()
-            ended = await before.process.wait()
-            await asyncio.sleep(0.2)
+        try:
+            async with program(
+                second, served.dial, *rules, discovery=discovery.dial, listen=listen, mgmt=dead_dial(),
+                state=state,
+            ) as successor:  # fmt: skip
+                await (await connected(str(successor.told["mgmt"]))).ask(READY)
+                await asyncio.sleep(0.5)
+                before.process.terminate()
+                ended = await before.process.wait()
+                await asyncio.sleep(0.2)
+                loading.cancel()
+                results = await asyncio.gather(*done)
+                alive(successor)
+                if ended:
+                    raise Died
+                return results.count(False), len(results)
+        finally:
             loading.cancel()
-            results = await asyncio.gather(*done)
-            alive(successor)
-            if ended:
-                raise Died
-            return results.count(False), len(results)
+            for one in done:
+                one.cancel()
 
 
 def alive(sidecar: Program) -> None:
