Tests: the addresses of a program under test are held, so that no other run gets them

Cause: dead_dial frees its port before the program binds it; another run's server had it by then (no line of the program's own log, an HTTP answer at its address). Change: failing_calls.program holds listen and mgmt by sockets that are bound and never listen, as the testbed does.

--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -6,7 +6,8 @@
 import contextlib
 import json
 import os
-from collections.abc import AsyncIterator
+import socket
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -43,27 +44,42 @@
         assert (await (await self.client()).ask(UP))[0] == 200
 
 
+@contextlib.contextmanager
+def held(dial: str) -> Iterator[None]:
+    """Keep an address for the processes of this test, bound and never listening: nobody else's gets it."""
+    host, _, port = dial.rpartition(":")
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        holder.bind((host, int(port)))
+        yield
+
+
 @contextlib.asynccontextmanager
 async def program(
     folder: Path, dial: str, *rules: syscalls.Rule, wall_offset: int = 0, **changes: Any
 ) -> AsyncIterator[Program]:
     """Start the program with these rules in force from its first system call on."""
     told = configuration(dial, **({"listen": dead_dial()} | changes))
-    file = folder / "config.json"
-    file.write_text(json.dumps(told))
-    control = Control(syscalls.build(folder), folder / "calls")
-    for rule in rules:
-        control.fail(rule)
-    control.step_wall_clock(wall_offset)
-    environment = {**os.environ, "PROXY_CONFIG": str(file), **control.environment}
-    process = await asyncio.create_subprocess_exec(*COMMAND, env=environment, cwd=ROOT)
-    try:
-        yield Program(process, told, control, file)
-    finally:
-        with contextlib.suppress(ProcessLookupError):
-            process.kill()
-        await process.wait()
-        control.close()
+    addresses = [told[name] for name in ("listen", "mgmt") if told.get(name)]
+    with contextlib.ExitStack() as stack:
+        for dial_of_its_own in addresses:
+            stack.enter_context(held(dial_of_its_own))
+        file = folder / "config.json"
+        file.write_text(json.dumps(told))
+        control = Control(syscalls.build(folder), folder / "calls")
+        for rule in rules:
+            control.fail(rule)
+        control.step_wall_clock(wall_offset)
+        environment = {**os.environ, "PROXY_CONFIG": str(file), **control.environment}
+        process = await asyncio.create_subprocess_exec(*COMMAND, env=environment, cwd=ROOT)
+        try:
+            yield Program(process, told, control, file)
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            control.close()
 
 
 @contextlib.asynccontextmanager
