--- a/tests/test_failing_transfers.py
+++ b/tests/test_failing_transfers.py
@@ -47,6 +47,21 @@
     run(no_request_is_lost_where(Call.EPOLL_CTL, NO_WATCHES, tmp_path))
 
 
+def test_no_request_is_lost_where_waits_are_interrupted(tmp_path: Path) -> None:
+    """Every second wait returns EINTR. The program's own epoll was asked once in each turn of the loop,
+    right after the loop's own wait: of two calls the second always failed, and the program was deaf until
+    the fault ended (hunt, seed 412: answers 0.4 s after their deadlines, and no status event for 2 s)."""
+
+    async def test() -> None:
+        async with serving_sizes(tmp_path) as sidecar:
+            for at_once in (False, True):
+                sidecar.control.fail(Rule(Call.WAIT, errno.EINTR, 2, at_once))
+                assert await failures_of_a_mixed_load(sidecar) == []
+                assert sidecar.control.failed(Call.WAIT) > 0
+
+    run(test())
+
+
 def test_a_process_that_is_done_ends_with_0_though_nothing_can_be_watched_any_more(tmp_path: Path) -> None:
     """The runner of the event library started its loop twice more after the last answer, for generators and
     threads that there are none of, and each start registers a descriptor: exit code 1 and a trace, `Cannot
