Node: a wait that is interrupted in step with the loop's own is made again

Cause: Poller._dispatch asked its epoll once in each turn, right after the loop's own wait, and took an interrupted call for nothing ready; of two calls a turn the second always failed. Change: asked again up to WAIT_TRIES times, as the loop has told that something is ready.

--- a/sprucenotch/node/poller.py
+++ b/sprucenotch/node/poller.py
@@ -21,6 +21,7 @@
 REGISTRATION_PASSING = frozenset((errno.ENOMEM, errno.ENOSPC))
 # What epoll reports whether or not it is asked for.
 ALWAYS_REPORTED = select.EPOLLERR | select.EPOLLHUP
+WAIT_TRIES = 4  # calls for what is ready, where the loop has told that something is
 UNKNOWN = -1  # in place of a mask: the kernel has one, of an earlier watch
 
 log = logging.getLogger(__name__)
@@ -115,12 +116,21 @@
         for watch in list(self._failed):
             self.apply(watch)
 
+    def _ready_now(self) -> list[tuple[int, int]]:
+        """What is ready, of which the loop has told that there is something. A wait that is interrupted says
+        that there is nothing: it is asked again, as the calls of one turn may be interrupted in step with
+        the loop's own. What is missed stays ready, and the loop comes back to it."""
+        for _ in range(WAIT_TRIES):
+            try:
+                ready = self._epoll.poll(0, MAX_EVENTS)
+            except OSError:
+                continue
+            if ready:
+                return ready
+        return []
+
     def _dispatch(self) -> None:
-        try:
-            events = self._epoll.poll(0, MAX_EVENTS)
-        except OSError:  # what is ready stays so, and the loop comes back to it
-            return
-        for fd, reported in events:
+        for fd, reported in self._ready_now():
             watch = self._watches.get(fd)  # the one before may have ended it
             if watch is None or not (wanted := watch.wanted):
                 continue
