Review case 1: several sizes of answers to the clients that leave

Need: how much of an answer the kernel takes for a client that does not read differs between kernels; with one size the case might not reach the state that it needs.

Change: the clients that leave get answers of 80 to 125 kB. The rule, its bound and the disruption are the same.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -15,7 +15,9 @@
 
 FOLDER = Path(__file__).resolve().parent
 ROUNDS, PAIRS = 5, 4
-SLOW_SIZE = 92_000  # bytes of an answer to a client that takes its time: long, as it is over 64 KiB
+# Bytes of the answers to clients that take their time: long, as they are over 64 KiB, and somewhat more than
+# the kernel takes for a client that does not read.
+SLOW_SIZES = (80_000, 92_000, 110_000, 125_000)
 # Bytes of the other long answers, which an engine gives in pieces over two seconds.
 PIECE, PIECES, PIECE_PAUSE = 16_000, 20, 0.1
 READING_PAUSE = 1.0  # seconds for which a slow client does not read
@@ -31,10 +33,15 @@
     return (line * (size // len(line) + 1))[:size]
 
 
+def slow_size(id: str) -> int:
+    """Return the size of the answer to a slow client, by the number at the end of its id."""
+    return SLOW_SIZES[int(id.rpartition("-")[2]) % len(SLOW_SIZES)]
+
+
 def work(record: Record):
     async def run(request: Request, writer: asyncio.StreamWriter) -> None:
         slow = request.id.startswith("slow")
-        size = SLOW_SIZE if slow else PIECE * PIECES
+        size = slow_size(request.id) if slow else PIECE * PIECES
         body = body_of(request.id, size)
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode())
         try:
@@ -72,7 +79,7 @@
             record.line("client", f"of {id} leaves")
             return
         received = 0
-        while received < SLOW_SIZE and (piece := await loop.sock_recv(connected, 4096)):
+        while received < slow_size(id) and (piece := await loop.sock_recv(connected, 4096)):
             received += len(piece)
         record.line("client", f"has read {received} bytes for {id}")
 
