Testbed: plays in which peers press on one sidecar

Change: sprucenotch/testbed/pressure: a real sidecar, six sound servers that read and answer as the query asks, twelve behaviours of misbehaving clients, well-behaved clients that are judged. testbed/site.py makes settings of a site file (it stood in test_customers).

--- /dev/null
+++ b/sprucenotch/testbed/pressure/play.py
@@ -0,0 +1,212 @@
+"""One play: a real sidecar, sound servers, misbehaving clients, and well-behaved ones that are judged."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from msgspec import Struct
+
+from sprucenotch.testbed import site as sites
+from sprucenotch.testbed.discovery import Discovery, Entry
+from sprucenotch.testbed.pressure.client import Finding, SteadyClient
+from sprucenotch.testbed.pressure.peers import LEAVE_SLACK, Behaviour, Left, Peers
+from sprucenotch.testbed.pressure.request import AnswerForm, RequestWriter, request_classes
+from sprucenotch.testbed.pressure.server import PressureServer
+from sprucenotch.testbed.process import RunError, SidecarProcess, free_address
+from sprucenotch.testbed.revision import Program
+from sprucenotch.testbed.sidecar import KILL_AFTER
+
+SERVERS, STEADY_CLIENTS = 6, 12
+MEGABYTE = 1_000_000
+END_TIMEOUT = 15.0  # seconds after a play's end by which all its clients have ended
+LATENESS_CHECK_INTERVAL = 0.02  # seconds
+MEMORY_CHECK_INTERVAL = 0.05  # seconds
+
+
+class Pressure(Struct, frozen=True, kw_only=True):
+    """What a play does, and the limits of its sidecar."""
+
+    behaviour: Behaviour
+    number: int  # of misbehaving clients
+    seed: int
+    length: float = 6.0  # seconds
+    memory_mb: int = 192
+    descriptors: int = 1024
+    long_answers: bool = False  # the well-behaved clients ask for long answers from slow servers
+    site: Path = sites.SITES[0]
+
+
+class PressureResult(Struct, frozen=True, kw_only=True):
+    """What was seen."""
+
+    findings: list[Finding]
+    statuses: dict[int, int]  # of the well-behaved clients' answers
+    unread_closes: int  # requests of theirs whose connection was closed unread
+    peak_memory: int  # bytes: the sidecar's resident memory at its highest
+    times: list[float]  # seconds to the final answers of the well-behaved clients, sorted
+    rounds: int  # connections of misbehaving clients
+    late: float  # seconds by which the testbed was late in all
+    log: str  # of the sidecar
+
+    def quantile(self, share: float) -> float:
+        """The time in which that share of the well-behaved clients' answers came."""
+        return self.times[min(len(self.times) - 1, int(share * len(self.times)))] if self.times else 0.0
+
+
+class _Lateness:
+    """Adds up the time by which the event loop of the testbed is late."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    async def watch(self) -> None:
+        while True:
+            due = time.monotonic() + LATENESS_CHECK_INTERVAL
+            await asyncio.sleep(LATENESS_CHECK_INTERVAL)
+            self.seconds += max(0.0, time.monotonic() - due)
+
+
+def peak_memory(pid: int) -> int:
+    """The highest resident memory of a process so far, in bytes; 0 once it has ended."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+def draw_form(pressure: Pressure, rng: random.Random) -> AnswerForm:
+    """Draw the answer that a well-behaved client asks for."""
+    if not pressure.long_answers:
+        return AnswerForm(size=rng.choice((100, 2000)), work=rng.choice((0.002, 0.02)))
+    return AnswerForm(
+        size=rng.choice((90_000, 170_000)),
+        framing=rng.choice(("length", "chunked", "close")),
+        body_delay=rng.choice((0.0, 0.0, 0.8, 1.5)),
+        piece=rng.choice((30_000, 60_000)),
+        pause=rng.choice((0.05, 0.4, 0.8)),
+    )
+
+
+async def play(pressure: Pressure, program: Program | None = None) -> PressureResult:
+    """Play. Raises ProcessError if the sidecar does not come up."""
+    program = program or Program()
+    discovery, servers = Discovery(), [PressureServer() for _ in range(SERVERS)]
+    try:
+        await discovery.start()
+        settings = sites.settings(sites.load(pressure.site))
+        for number, server in enumerate(servers):
+            await server.start()
+            zone = settings["Azs"][number % len(settings["Azs"])]
+            await discovery.publish(_entry(f"server-{number}", server.dial, zone))
+        configuration = {
+            "name": "sidecar-0", "listen": free_address(), "mgmt": free_address(),
+            "seed": f"{pressure.seed:x}", "discovery": discovery.server.dial,
+            "known": await discovery.whole(), "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": pressure.memory_mb, "sockets": pressure.descriptors},
+        }  # fmt: skip
+        with SidecarProcess(configuration, program.command, program.cwd) as sidecar:
+            await sidecar.ready()
+            return await _run(pressure, configuration, sidecar, servers)
+    finally:
+        for server in servers:
+            await server.stop()
+        await discovery.stop()
+
+
+def _entry(name: str, dial: str, zone: str) -> Entry:
+    return Entry(host=name, dial=dial, site=zone, block=0, health="up", share=1.0, born_ms=0)
+
+
+async def _run(
+    pressure: Pressure, configuration: dict[str, Any], sidecar: SidecarProcess, servers: list[PressureServer]
+) -> PressureResult:
+    lateness = _Lateness()
+    settings, rng = configuration["settings"], random.Random(f"pressure {pressure.seed}")
+    classes = request_classes(settings)
+    tenant = settings["Orgs"][0]["Name"] if settings["Orgs"] else ""
+
+    def writer(label: str) -> RequestWriter:
+        return RequestWriter(label, classes, tenant, random.Random(f"{label} {pressure.seed}"))
+
+    def now_late() -> float:
+        return lateness.seconds
+
+    peers = Peers(sidecar.listen, writer("peer"), rng, now_late)
+    clients = [
+        SteadyClient(sidecar.listen, writer(f"steady{n}"), lambda: draw_form(pressure, rng), now_late)
+        for n in range(STEADY_CLIENTS)
+    ]
+    until = time.monotonic() + pressure.length
+    watching = asyncio.create_task(lateness.watch())
+    peak = 0
+    try:
+        running = asyncio.gather(
+            *(client.run(until) for client in clients),
+            peers.run(pressure.behaviour, pressure.number, until),
+        )
+        give_up_at = until + END_TIMEOUT
+        while not running.done():
+            if time.monotonic() > give_up_at:
+                running.cancel()
+                raise RunError("a client of the play did not end")
+            await asyncio.wait((running,), timeout=MEMORY_CHECK_INTERVAL)
+            if sidecar.alive:
+                peak = max(peak, peak_memory(sidecar.pid))
+        await running
+    finally:
+        watching.cancel()
+    deadlines = max(cls.deadline for cls in classes)
+    findings = [
+        *(finding for client in clients for finding in client.findings), *peers.findings,
+        *began_after_leaving(peers.left, servers), *ran_twice(peers.repeated, servers),
+        *_judge_process(pressure, sidecar, peak), *await _end(sidecar, min(3.0, deadlines)),
+    ]  # fmt: skip
+    return PressureResult(
+        findings=findings, statuses=dict(sum((c.statuses for c in clients), Counter[int]())),
+        unread_closes=sum(c.unread_closes for c in clients), peak_memory=peak, rounds=peers.rounds,
+        times=sorted(t for c in clients for t in c.times), late=lateness.seconds,
+        log=sidecar.log_file.read_text(errors="replace"),
+    )  # fmt: skip
+
+
+def began_after_leaving(left: list[Left], servers: list[PressureServer]) -> Iterator[Finding]:
+    """Requests that a server began after their client had closed its connection."""
+    left_at = {id: client.at for client in left for id in client.ids}
+    for server in servers:
+        for id, at in server.begun:
+            if id in left_at and at > left_at[id] + LEAVE_SLACK:
+                said = f"a server began it {at - left_at[id]:.2f} s after its client had closed"
+                yield Finding("began after leaving", id, said)
+
+
+def ran_twice(repeated: list[str], servers: list[PressureServer]) -> Iterator[Finding]:
+    """Ids that came again after their client had left, and that servers began more than once."""
+    begun = Counter(begun.id for server in servers for begun in server.begun)
+    for id in repeated:
+        if begun[id] > 1:
+            yield Finding("ran twice", id, f"servers began it {begun[id]} times")
+
+
+def _judge_process(pressure: Pressure, sidecar: SidecarProcess, peak: int) -> Iterator[Finding]:
+    if not sidecar.alive:
+        yield Finding("ended", "", sidecar.log_tail())
+    if peak > pressure.memory_mb * MEGABYTE:
+        yield Finding("memory", "", f"{peak / MEGABYTE:.1f} MB of {pressure.memory_mb}")
+
+
+async def _end(sidecar: SidecarProcess, longest_deadline: float) -> list[Finding]:
+    """Stop the sidecar: with no client left, it must end by itself before it would be killed."""
+    sidecar.signal(signal.SIGTERM)
+    try:
+        code = await sidecar.wait(longest_deadline + KILL_AFTER)
+    except TimeoutError:
+        sidecar.kill()
+        return [Finding("not ended", "", "it did not end before it would have been killed")]
+    return [] if code == 0 else [Finding("not ended", "", f"it ended with code {code}")]
--- /dev/null
+++ b/sprucenotch/testbed/pressure/server.py
@@ -0,0 +1,120 @@
+"""A sound server that reads and answers each request as the request's query asks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from typing import NamedTuple
+
+from sprucenotch.testbed.http import HOST, response
+from sprucenotch.testbed.pressure.request import AnswerForm, answer_body, answer_form
+from sprucenotch.testbed.transfers.server import read_chunk, read_head, write
+
+MAX_HEAD = 1 << 20  # bytes
+READ_SIZE = 8192  # bytes
+RECEIVE_BUFFER = 16 * 1024  # bytes of the kernel's buffer, so that a slow reader is one for the sidecar too
+
+
+class Begun(NamedTuple):
+    """A request whose last byte a server has read."""
+
+    id: str
+    at: float  # on the monotonic clock, in seconds
+
+
+class PressureServer:
+    """One server of a play; it records the requests that it begins."""
+
+    def __init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task[None]] = set()
+        self.dial = ""
+        self.begun: list[Begun] = []
+
+    async def start(self) -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        listener.bind((HOST, 0))
+        self._server = await asyncio.start_server(self._serve, sock=listener, backlog=1024, limit=MAX_HEAD)
+        self.dial = f"{HOST}:{listener.getsockname()[1]}"
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        try:
+            while True:
+                await self._serve_request(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the sidecar has closed the connection, or the play is over
+        finally:
+            self._serving.discard(task)
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    async def _serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first, headers = await read_head(reader)
+        if "req-id" not in headers:  # a probe
+            await write(writer, response(200))
+            return
+        form = answer_form(first.split(" ")[1].partition("?")[2])
+        if form.read_rate or form.read_limit >= 0:
+            # The stream reader would read ahead; a small limit keeps the rest in the kernel.
+            reader._limit = READ_SIZE  # type: ignore[attr-defined]
+        await self._read_body(reader, headers, form)
+        reader._limit = MAX_HEAD  # type: ignore[attr-defined]
+        self.begun.append(Begun(headers["req-id"], time.monotonic()))
+        await asyncio.sleep(form.work)
+        if form.framing == "close":
+            await self._answer(writer, headers["req-id"], form)
+            raise ConnectionResetError("the answer ends with its connection")
+        await self._answer(writer, headers["req-id"], form)
+
+    async def _read_body(
+        self, reader: asyncio.StreamReader, headers: dict[str, str], form: AnswerForm
+    ) -> None:
+        """Read the body at the rate of the form. Raises OSError or IncompleteReadError if it breaks off."""
+        chunked = headers.get("transfer-encoding", "").lower() == "chunked"
+        left, done = int(headers.get("content-length", "0")), 0
+        while chunked or left:
+            if 0 <= form.read_limit <= done:
+                await asyncio.Event().wait()
+            if chunked:
+                piece = await read_chunk(reader)
+                if not piece:
+                    return
+            else:
+                piece = await reader.read(min(left, READ_SIZE))
+                if not piece:
+                    raise ConnectionResetError("the body broke off")
+                left -= len(piece)
+            done += len(piece)
+            if form.read_rate:
+                await asyncio.sleep(len(piece) / form.read_rate)
+
+    async def _answer(self, writer: asyncio.StreamWriter, id: str, form: AnswerForm) -> None:
+        framing = {
+            "length": f"Content-Length: {form.size}\r\n",
+            "chunked": "Transfer-Encoding: chunked\r\n",
+            "close": "",
+        }[form.framing]
+        await write(writer, f"HTTP/1.1 200 OK\r\n{framing}\r\n".encode())
+        if form.body_delay:
+            await asyncio.sleep(form.body_delay)
+        body = answer_body(id, form.size)
+        for at in range(0, len(body), form.piece):
+            piece = body[at : at + form.piece]
+            await write(writer, b"%x\r\n%s\r\n" % (len(piece), piece) if form.framing == "chunked" else piece)
+            if form.pause:
+                await asyncio.sleep(form.pause)
+        if form.framing == "chunked":
+            await write(writer, b"0\r\n\r\n")
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -5,7 +5,6 @@
 import json
 import random
 import tomllib
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -15,47 +14,17 @@
 from sprucenotch.node import config
 from sprucenotch.node.head import METHODS, HeadRules
 from sprucenotch.policy.balance import Balancer
+from sprucenotch.testbed.site import SITES, Rename
+from sprucenotch.testbed.site import settings as site_settings
 from tests.sidecar import entry
 
 MS, SECOND = 1_000_000, 1_000_000_000
-SITES = sorted((Path(__file__).parent.parent / "deploy" / "sites").glob("*/*.toml"))
-EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
-MODES = {"ask": "on_request", "push": "pushed"}
-Rename = Callable[[str], str]
-
-
-def lower_bound(value: Any) -> Any:
-    """Return the lower bound where a site gives a range."""
-    return value[0] if isinstance(value, list) else value
 
 
 def platform_config(site: dict[str, Any], name: Rename) -> dict[str, Any]:
     """Return the platform's configuration for a sidecar of this site, with names changed by `name`."""
-    allow, conn, rules = site["allow"], site["tier"][0]["conn"], site["rules"]
-    zones = [name(zone) for zone in site["net"]["zones"]]
-    settings = {
-        "Azs": zones,
-        "Kinds": [name(kind["name"]) for kind in site["tier"][0]["kind"]],
-        "Categories": [
-            {"Name": name(c["name"]), "AimNs": c["aim_ms"] * MS, "HardLimitNs": c["deadline_ms"] * MS,
-             "Importance": c["worth"], "LateWorth": c["late_worth"], "Effect": EFFECTS[c["effect"]],
-             "KeyScope": c.get("group", "all"), "WindowNs": c.get("window_ms", 5000) * MS}
-            for c in site["class"]
-        ],
-        "Orgs": [{"Name": name(t["name"]), "Portion": t["share"], "QuotaPerS": 100 * t["share"]}
-                 for t in site.get("tenant", ())],
-        "Limits": {"Cancel": allow["cancel"], "Probes": allow["probes"], "Peers": allow["peers"],
-                   "RetryAfter": allow["retry_after"], "ParallelTries": allow["second_copies"],
-                   "MaxAttempts": allow["max_attempts"], "ConnIdleNs": conn["idle_s"] * SECOND,
-                   "MaxRetryAfterNs": site["clients"]["max_retry_after_ms"] * MS,
-                   "ConnectTimeoutNs": conn["connect_timeout_ms"] * MS},
-        "Rules": {"DrainGraceNs": rules["drain_grace_ms"] * MS, "ColdFrom": 0.2, "ColdNs": 20 * SECOND,
-                  "FallMultiple": rules["fall_multiple"], "FallNs": rules["fall_ms"] * MS},
-        "Deductions": {"CrossZone": site["prices"]["cross_zone"], "Waste": site["prices"]["waste"],
-                       "Probe": site["prices"]["probe"]},
-        "Discovery": MODES[site["discovery"]["mode"]], "NInstances": 4, "Position": 1, "Zone": 1,
-        "OverShareWorth": site["load"].get("over_share_worth", 1),
-    }  # fmt: skip
+    settings = site_settings(site, name)
+    zones = settings["Azs"]
     hosts = [entry(f"e-{i}", f"127.0.0.1:{9000 + i}") | {"site": zones[i % len(zones)]} for i in range(9)]
     return {"name": name("n1"), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "2b",
             "limits": {"sockets": 512, "memory_mb": 80}, "settings": settings,
