An answer of unknown length is passed on though its body is late

Cause: Connection started to stream an answer of unknown length only when data arrived after half of the attempt's time (buffer_updated). With the head in time and the body after the timeout nothing arrives in between, and Attempt.abandon closes the connection under the answer. Ruled out: deadline of the request (ends at the aim, 0.3 to 0.4 s), stall timer (10 s).

Change: the time from which an answer is streamed has a timer, which ends with the exchange.

The stand-in paused after its last piece too, which looked like a server that hangs; mended.

--- a/sprucenotch/node/attempt.py
+++ b/sprucenotch/node/attempt.py
@@ -104,7 +104,7 @@
         """
         self._stream_from = at
         if self._connection is not None:
-            self._connection.stream_from = at
+            self._connection.stream_answer_from(at)
 
     @property
     def _fully_sent(self) -> bool:
@@ -175,7 +175,7 @@
         if not connection.send(self._payload(), self._answered, self._written, free, self._upload):
             self._end(Outcome.CONNECT_FAILED, None)
         else:
-            connection.stream_from = self._stream_from
+            connection.stream_answer_from(self._stream_from)
             self._purpose.on_first_byte_sent(self._pool)
 
     def _answered(self, answer: Answer | None) -> None:
--- a/sprucenotch/node/connection.py
+++ b/sprucenotch/node/connection.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from sprucenotch.node.config import Address
+from sprucenotch.node.config import SECOND, Address
 from sprucenotch.node.log import event
 from sprucenotch.node.stream import (
     LAST_CHUNK,
@@ -80,7 +80,8 @@
         self._answer_stream: Stream | None = None  # the body of a streamed answer
         self._answer: Answer | None = None
         self._answer_complete = False  # the last byte of the answer has arrived
-        self.stream_from = NEVER  # from then on an answer of unknown length is streamed
+        self._stream_from = NEVER  # from then on an answer of unknown length is streamed
+        self._stream_timer: asyncio.TimerHandle | None = None
         self._write_blocked = False
         self.request_sent = False  # the last byte of the request has been sent
         self._stall_timer: asyncio.TimerHandle | None = None
@@ -244,6 +245,34 @@
 
     # ---- receiving the answer
 
+    def stream_answer_from(self, at: int) -> None:
+        """Stream the answer of the current request from `at` on, in nanoseconds of the monotonic clock, if
+        its length is unknown: also if only its head has arrived by then."""
+        self._stream_from = at
+        self._cancel_stream_timer()
+        if at != NEVER:
+            delay = max(0.0, (at - time.monotonic_ns()) / SECOND)
+            self._stream_timer = asyncio.get_running_loop().call_later(delay, self._stream_begun_answer)
+
+    def _cancel_stream_timer(self) -> None:
+        if self._stream_timer is not None:
+            self._stream_timer.cancel()
+            self._stream_timer = None
+
+    def _stream_begun_answer(self) -> None:
+        """Start to stream an answer whose head has arrived. A later head finds that its time has come."""
+        self._stream_timer, self._stream_from = None, 0
+        if self._length_unknown and self._answer_stream is None and not self._answer_complete:
+            self._start_streaming(None)
+            self._pass_on_streamed()
+
+    def _pass_on_streamed(self) -> None:
+        """Pass on what has arrived of an answer that is streamed."""
+        if self._answer_stream is not None:
+            self._feed_stream(self._answer_stream)
+            self._deliver_stream()
+            self._watch_progress()
+
     def get_buffer(self, sizehint: int) -> memoryview:
         return READ_BUFFER
 
@@ -262,12 +291,9 @@
         if self._malformed:
             self._finish(UNREADABLE, False)
             return
-        if self._length_unknown and self._answer_stream is None and time.monotonic_ns() >= self.stream_from:
+        if self._length_unknown and self._answer_stream is None and time.monotonic_ns() >= self._stream_from:
             self._start_streaming(None)
-        if self._answer_stream is not None:
-            self._feed_stream(self._answer_stream)
-            self._deliver_stream()
-            self._watch_progress()
+        self._pass_on_streamed()
 
     def _feed_stream(self, stream: Stream) -> None:
         if self._body:
@@ -317,6 +343,8 @@
         """Forget what the exchange has set up, as the connection may carry another one from now on; end its
         streamed answer."""
         self._on_answer, self._on_written, self._on_finished = None, no_op, no_op
+        self._cancel_stream_timer()
+        self._stream_from = NEVER
         self._detach_upload()
         stream, self._answer_stream = self._answer_stream, None
         self._answer = None
--- a/sprucenotch/testbed/pressure/play.py
+++ b/sprucenotch/testbed/pressure/play.py
@@ -41,6 +41,7 @@
     descriptors: int = 1024
     long_answers: bool = False  # the well-behaved clients ask for long answers from slow servers
     site: Path = sites.SITES[0]
+    log_level: str = "info"
 
 
 class PressureResult(Struct, frozen=True, kw_only=True):
@@ -109,6 +110,7 @@
             "name": "sidecar-0", "listen": free_address(), "mgmt": free_address(),
             "seed": f"{pressure.seed:x}", "discovery": discovery.server.dial,
             "known": await discovery.whole(), "settings": settings,
+            "log": {"level": pressure.log_level},
             "limits": {"cores": 1.0, "memory_mb": pressure.memory_mb, "sockets": pressure.descriptors},
         }  # fmt: skip
         with SidecarProcess(configuration, program.command, program.cwd) as sidecar:
--- a/sprucenotch/testbed/pressure/server.py
+++ b/sprucenotch/testbed/pressure/server.py
@@ -114,7 +114,7 @@
         for at in range(0, len(body), form.piece):
             piece = body[at : at + form.piece]
             await write(writer, b"%x\r\n%s\r\n" % (len(piece), piece) if form.framing == "chunked" else piece)
-            if form.pause:
+            if form.pause and at + form.piece < len(body):
                 await asyncio.sleep(form.pause)
         if form.framing == "chunked":
             await write(writer, b"0\r\n\r\n")
