What peers make the process keep is bounded: endless fields, short fields, ended connections

Causes, one class: memory that a peer fills was counted in bytes of bodies only. 1. The parser collects a field until it ends and reports nothing before; nothing bounded that, in heads, trailers and chunk extensions, from clients and from servers. 2. Each header line was two objects in a list and a dict, some 200 bytes for a line of 5, outside of the budget. 3. An ended connection and its parser refer to each other, so its memory waited for the garbage collector. Ruled out: bodies (reserved before they are read), kernel buffers (not resident).

Change: input that the parser holds unreported is bounded by MAX_HEAD_SIZE on both sides (431, or an unreadable answer). RequestHead keeps the bytes to forward and the few fields that are read. What exceeds USUAL_HEAD_SIZE is reserved in the budget as it comes; without memory 503. A field of an answer counts 64 bytes more. Ended connections release their parser. Between bodies 4 KiB are read at a time, so that other connections have their turn.

--- a/sprucenotch/node/connection.py
+++ b/sprucenotch/node/connection.py
@@ -24,7 +24,8 @@
 )
 from sprucenotch.node.transport import SocketTransport
 
-MAX_HEAD_SIZE = 32 * 1024
+MAX_HEAD_SIZE = 32 * 1024  # bytes of names and values
+FIELD_OVERHEAD = 64  # bytes, counted for each field of an answer beside its name and value
 HEADER_WHITESPACE = b" \t"  # optional whitespace around a header value
 
 log = logging.getLogger(__name__)
@@ -74,6 +75,7 @@
         self._on_lost = on_lost
         self.counted = False  # whether it counts as one of the open and connecting connections
         self._transport: SocketTransport | None = None
+        self._parser: httptools.HttpResponseParser | None = None  # of the last request
         self._on_answer: AnswerCallback | None = None
         self._on_written = self._on_finished = no_op
         self._upload: Stream | None = None  # the streamed body of the current request
@@ -280,10 +282,14 @@
         if self._on_answer is None and self._answer_stream is None:
             self.close(ServerCloseReason.UNREQUESTED_INPUT)
             return
+        assert self._parser is not None
+        self._unreported += nbytes
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._malformed = True
+        if self._unreported > MAX_HEAD_SIZE:  # the parser holds a field that does not end
+            self._malformed = True
         if self._answer_complete:
             # Input after the end of the answer makes the connection unusable, but the answer is valid.
             self._finish(self._answer, self._keep_alive and not self._malformed)
@@ -308,6 +314,7 @@
         self._finish(self._answer if self._answer_complete else None, False)
         if self._on_lost is not None:
             self._on_lost(self)
+        self._parser = self._on_lost = None  # breaks the reference cycles
 
     def _pause_answer(self, on: bool) -> None:
         """Pause or resume reading of a streamed answer."""
@@ -357,6 +364,7 @@
 
     def _reset_answer(self) -> None:
         self._status = self._head_size = self._body_size = 0
+        self._unreported = 0  # bytes of input since the parser last reported anything
         self._head_received = self._until_close = self._length_unknown = False
         self._headers: Headers = []
         self._body = bytearray()  # buffered; or collected for a single write to the stream
@@ -366,13 +374,16 @@
             self._malformed = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head_size += len(name) + len(value)
+        self._unreported = 0
+        self._head_size += len(name) + len(value) + FIELD_OVERHEAD
         if self._head_size > MAX_HEAD_SIZE:
             raise ValueError("the head is too long")
         if not self._head_received:  # else it is a trailer
             self._headers.append((name.lower(), value.rstrip(HEADER_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
+        assert self._parser is not None
+        self._unreported = 0
         self._head_received, self._status = True, self._parser.get_status_code()
         if self._status < 200 or self._answer_complete:
             return
@@ -385,6 +396,7 @@
             self._start_streaming(int(length))
 
     def on_body(self, body: bytes) -> None:
+        self._unreported = 0
         self._body += body
         self._body_size += len(body)
         if self._answer_stream is None and self._body_size > self.max_body_size:
@@ -407,5 +419,6 @@
         elif not self._answer_complete:
             self._answer_complete = True
             self._answer = Answer(self._status, self._headers, bytes(self._body))
+            assert self._parser is not None
             # After this callback the parser has forgotten the length and always returns False.
             self._keep_alive = self._parser.should_keep_alive()
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -18,7 +18,7 @@
 from sprucenotch.node.config import Config
 from sprucenotch.node.connection import HEADER_WHITESPACE, MAX_HEAD_SIZE, Answer
 from sprucenotch.node.exchange import Exchange
-from sprucenotch.node.head import UNFORWARDED_REQUEST_HEADERS, BadRequest, HeadRules, head
+from sprucenotch.node.head import BadRequest, HeadRules, RequestHead, head
 from sprucenotch.node.host import Host
 from sprucenotch.node.ledger import Incoming
 from sprucenotch.node.log import event
@@ -26,6 +26,7 @@
 from sprucenotch.node.rules import FORCED_CLOSES, CloseReason
 from sprucenotch.node.stream import (
     ANSWER_RESERVATION,
+    HEAD_READ_BUFFER,
     LAST_CHUNK,
     MAX_BODY_SIZE,
     MAX_BUFFERED_BODY_SIZE,
@@ -39,6 +40,8 @@
 
 log = logging.getLogger(__name__)
 
+USUAL_HEAD_SIZE = 4096  # bytes; only what exceeds it is reserved in the budget
+HEAD_RESERVATION_STEP = 4096  # bytes of memory that an incomplete head reserves at a time
 MAX_PIPELINED_REQUESTS = 16  # per connection, counting the one being answered
 REQUEST_CHECK_INTERVAL = 0.25  # seconds between checks of an incomplete request
 # Seconds between checks whether the client has left while reading is paused. It bounds how long memory,
@@ -55,6 +58,11 @@
 LINGER_TIMEOUT = 2.0
 
 
+def unusual_size(size: int) -> int:
+    """The bytes of a head of that size that are reserved in the budget."""
+    return max(0, size - USUAL_HEAD_SIZE)
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """A connection from a client: parses its requests and sends the answers in order."""
 
@@ -80,6 +88,7 @@
         self._disconnect_timer: asyncio.TimerHandle | None = None  # while reading is paused
         self._request_timeout = RequestTimeLimit()
         self._rules = frontend.rules  # with which the last head was checked
+        self._unreported = 0  # bytes of input since the parser last reported anything
         self._reset_request()
 
     @property
@@ -122,9 +131,7 @@
         return 0 if self._transport is None else self._transport.events()
 
     def _reset_request(self) -> None:
-        self._url = b""
-        self._headers: dict[bytes, bytes] = {}  # by name in lower case
-        self._forwarded_lines: list[bytes] = []  # headers to forward, as received
+        self._head = RequestHead()
         self._body = bytearray()  # buffered; or collected for a single write to the stream
         self._head_size = self._body_size = 0  # bytes; the head includes trailers
         self._error: BadRequest | None = None
@@ -150,6 +157,10 @@
         for exchange in self._exchanges:
             self._discard_answer(exchange)
         self._exchanges.clear()
+        # Break the reference cycles: memory is free at once, not with the next garbage collection.
+        self._reset_request()
+        self._writing = None
+        del self._parser
 
     def eof_received(self) -> None:
         """Treat the end of the client's input as the client having left; a half-close cannot be told apart
@@ -192,15 +203,17 @@
         self.frontend.host.finish_request(exchange.id)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return READ_BUFFER
+        return READ_BUFFER if self._head_received or self._discarding else HEAD_READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._discarding:
             return
         self._request_timeout.byte_received()
+        self._unreported += nbytes
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._check_incomplete_head()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadRequest):
             if not self._discarding:
                 self._reject(self._error or BadRequest(400, "malformed request"))
         if self._exchange is not None:
@@ -440,24 +453,44 @@
 
     # ---- httptools' callbacks
 
+    def _check_incomplete_head(self) -> None:
+        """Bound what an incomplete head or trailer keeps in memory. Raises BadRequest."""
+        if self._unreported > MAX_HEAD_SIZE:  # the parser holds a field that does not end
+            self._fail_parsing(431, HTTPStatus(431).phrase)
+        if self._reading and not self._head_received:
+            self._reserve_head(unusual_size(self._head.size + self._unreported))
+
+    def _reserve_head(self, size: int) -> None:
+        """Reserve memory for a head of that many bytes so far. Raises BadRequest."""
+        missing = size - self._reserved
+        if missing <= 0:
+            return
+        missing += -missing % HEAD_RESERVATION_STEP
+        if not self.frontend.host.budget.reserve(missing):
+            self.frontend.host.count("no_room")
+            self._fail_parsing(503, "no memory for this head; trying again is harmless")
+        self._reserved += missing
+
     def on_message_begin(self) -> None:
+        self._unreported = 0
         self._unused = False
         self._reading = True
 
     def on_url(self, url: bytes) -> None:
+        self._unreported = 0
         self._add_head_size(len(url), 414)
-        self._url += url
+        self._head.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._unreported = 0
         self._add_head_size(len(name) + len(value), 431)
         if not self._head_received:  # else it is a trailer, which must not count as a header
-            # The parser keeps trailing whitespace.
-            lower_name, value = name.lower(), value.rstrip(HEADER_WHITESPACE)
-            self._headers[lower_name] = value
-            if lower_name not in UNFORWARDED_REQUEST_HEADERS:
-                self._forwarded_lines.append(b"%s: %s" % (name, value))
+            self._head.add_field(
+                name, value.rstrip(HEADER_WHITESPACE)
+            )  # the parser keeps trailing whitespace
 
     def on_headers_complete(self) -> None:
+        self._unreported = 0
         self._head_received = True
         http10 = self._parser.get_http_version() == "1.0"
         exchange = Exchange(self.flush, self.connected, not self._parser.should_keep_alive(), http10)
@@ -465,7 +498,7 @@
         self._exchanges.append(exchange)
         if self._parser.should_upgrade():  # the input that follows would not be HTTP
             self._fail_parsing(400, "upgrades are not served")
-        headers = self._headers
+        headers = self._head.fields
         transfer_coding = headers.get(b"transfer-encoding")
         # Other codings would be lost in forwarding.
         if transfer_coding is not None and transfer_coding.lower() != b"chunked":
@@ -476,7 +509,7 @@
         expects_continue = (
             headers.get(b"expect", b"").lower() == b"100-continue" and not http10 and length != 0
         )
-        if self._url.partition(b"?")[0] != b"/up" or self._parser.get_method() != b"GET":
+        if self._head.url.partition(b"?")[0] != b"/up" or self._parser.get_method() != b"GET":
             closes_connection, exchange.closes_connection = (
                 exchange.closes_connection,
                 exchange.closes_connection or expects_continue,
@@ -496,28 +529,33 @@
         method = self._parser.get_method()
         self._rules = self.frontend.rules
         try:
-            self._incoming = self._rules.check(method, self._url, self._forwarded_lines, headers)
+            self._incoming = self._rules.check(method, self._head.url, bytes(self._head.lines), headers)
         except BadRequest as error:
+            self._release_reserved()
             self._answer_error(exchange, error)
             return
+        self._head.lines = bytearray()  # the request has a copy
         long = length is not None and length > MAX_BUFFERED_BODY_SIZE
         body_size = (
             MAX_READ_SIZE if long else MAX_BUFFERED_BODY_SIZE + MAX_READ_SIZE if length is None else length
         )
-        if not self.frontend.host.budget.reserve(body_size + ANSWER_RESERVATION):
+        head_size = 2 * unusual_size(len(self._incoming.head))  # an attempt is built of a copy of it
+        missing = head_size + body_size + ANSWER_RESERVATION - self._reserved
+        if not self.frontend.host.budget.reserve(missing):
+            self._release_reserved()
             self.frontend.host.count_memory_refusal(self._incoming)
             exchange.refuse(0)
             return
-        self._reserved = body_size + ANSWER_RESERVATION
+        self._reserved += missing
         if long:
             self._start_upload(exchange, self._incoming, length)
 
-    def _recheck_head(self) -> Incoming:
+    def _recheck_head(self, checked: Incoming) -> Incoming:
         """Check the head again with the current settings: they may have changed since it arrived, and its
         class or tenant may be different or removed."""
-        return self.frontend.rules.check(
-            self._parser.get_method(), self._url, self._forwarded_lines, self._headers
-        )
+        method = self._parser.get_method()
+        again = self.frontend.rules.check(method, self._head.url, b"", self._head.fields)
+        return again._replace(head=checked.head)
 
     def _release_reserved(self) -> None:
         self.frontend.host.budget.release(self._reserved)
@@ -547,6 +585,7 @@
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
+        self._unreported = 0
         self._body_size += len(body)
         if self._body_size > MAX_BODY_SIZE:
             self._fail_parsing(413, HTTPStatus(413).phrase)
@@ -561,7 +600,7 @@
             and self._incoming is not None
         ):
             try:
-                self._incoming = self._recheck_head()
+                self._incoming = self._recheck_head(self._incoming)
             except BadRequest as error:
                 self._fail_parsing(error.status, error.why)
             self._start_upload(exchange, self._incoming, None)
@@ -577,6 +616,7 @@
         raise self._error
 
     def on_message_complete(self) -> None:
+        self._unreported = 0
         exchange, incoming = self._exchange, self._incoming
         self._exchange = None  # a parse error from here on does not concern it
         self._reading = self._head_received = False
@@ -601,7 +641,7 @@
         """Pass a buffered request to the host, after another check if the settings have changed."""
         if self._rules is not self.frontend.rules:
             try:
-                incoming = self._recheck_head()
+                incoming = self._recheck_head(incoming)
             except BadRequest as error:
                 self._release_reserved()
                 self._answer_error(exchange, error)
--- a/sprucenotch/node/head.py
+++ b/sprucenotch/node/head.py
@@ -11,6 +11,13 @@
 from sprucenotch.node.connection import Headers
 from sprucenotch.node.ledger import Incoming
 
+# Request headers that the program itself reads, by name in lower case.
+READ_REQUEST_HEADERS = frozenset(
+    (
+        b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-retry", b"req-cost",
+        b"idempotency-key", b"transfer-encoding", b"content-length", b"expect",
+    )
+)  # fmt: skip
 # Headers that concern a single connection or are regenerated.
 HOP_BY_HOP = frozenset(
     (
@@ -37,6 +44,30 @@
         self.status, self.why = status, why
 
 
+class RequestHead:
+    """A request head as it arrives. Its memory grows with its bytes, however many fields they make up."""
+
+    __slots__ = ("fields", "lines", "url")
+
+    def __init__(self) -> None:
+        self.url = b""
+        self.fields: dict[bytes, bytes] = {}  # those of READ_REQUEST_HEADERS, by name in lower case
+        self.lines = bytearray()  # to forward, as received, each with its line end
+
+    def add_field(self, name: bytes, value: bytes) -> None:
+        """Add a field; `value` has no whitespace around it."""
+        lower_name = name.lower()
+        if lower_name in READ_REQUEST_HEADERS:
+            self.fields[lower_name] = value
+        if lower_name not in UNFORWARDED_REQUEST_HEADERS:
+            self.lines += b"%s: %s\r\n" % (name, value)
+
+    @property
+    def size(self) -> int:
+        """Bytes that it holds."""
+        return len(self.url) + len(self.lines)
+
+
 def head(status: int, headers: Headers, length: int | None, *ending: bytes) -> bytes:
     """Build the head of an answer. With a length of None, `ending` contains the framing headers."""
     lines = [STATUS_LINES[status]]
@@ -58,8 +89,9 @@
         self._classes = {c.name.encode(): c for c in settings.classes}
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
 
-    def check(self, method: bytes, url: bytes, lines: list[bytes], headers: dict[bytes, bytes]) -> Incoming:
-        """Parse a request head; `lines` are the headers to forward. Raises BadRequest."""
+    def check(self, method: bytes, url: bytes, lines: bytes, headers: dict[bytes, bytes]) -> Incoming:
+        """Parse a request head; `lines` are the headers to forward, each with its line end. Raises
+        BadRequest."""
         cls = self._classes.get(headers.get(b"req-kind", b""))
         if cls is None:
             raise BadRequest(400, "Req-Kind is missing or unknown")
@@ -84,7 +116,7 @@
             deadline=deadline(headers.get(b"req-deadline")),
             hint=hint(headers.get(b"req-cost")),
             repeat=headers.get(b"req-retry") == b"1",
-            head=b"\r\n".join((b"%s %s HTTP/1.1" % (method, url), *lines, b"")),
+            head=b"%s %s HTTP/1.1\r\n%s" % (method, url, lines),
             body=b"",
         )
 
--- a/sprucenotch/node/stream.py
+++ b/sprucenotch/node/stream.py
@@ -15,6 +15,9 @@
 
 # All sockets share one read buffer: input is parsed, and copied if it is kept, within the read callback.
 READ_BUFFER = memoryview(bytearray(MAX_READ_SIZE))
+# Of a connection that is between two bodies so much is read at a time: other connections have their turn
+# after a few small requests.
+HEAD_READ_BUFFER = READ_BUFFER[:4096]
 
 
 class Budget:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -99,7 +99,8 @@
             headers = {b"req-kind": cls.name.encode(), b"req-id": b"7", b"req-deadline": b"0.5",
                        b"req-owner": tenant} | ({b"idempotency-key": b"k"} if keyed else {})  # fmt: skip
             lines = [b"%s: %s" % header for header in headers.items() if header[0] != b"req-deadline"]
-            incoming = HeadRules(settings).check(method, b"/api?k=1", lines, headers)
+            ended_lines = b"".join(line + b"\r\n" for line in lines)
+            incoming = HeadRules(settings).check(method, b"/api?k=1", ended_lines, headers)
             assert incoming.head == b"\r\n".join((method + b" /api?k=1 HTTP/1.1", *lines, b""))
             assert incoming.cls == cls.name
             assert incoming.tenant == max(0, len(settings.tenants) - 1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.node import config, discovery, transport, upstream
+from sprucenotch.node import config, connection, discovery, transport, upstream
 from sprucenotch.node.config import SECOND
 from sprucenotch.node.connection import Connection
 from sprucenotch.node.frontend import MAX_PIPELINED_REQUESTS, ClientConnection
@@ -136,7 +136,7 @@
 MAY_HAVE_RUN = [
     (hang_up, Outcome.RESET),
     (malformed_answer, Outcome.ERROR),
-    (answering(b"HTTP/1.1 200 OK\r\n\r\nno length, and then"), None),
+    (never, Outcome.TIMEOUT),
     (answering(status(500)), Outcome.ERROR),
     (answering(status(503)), Outcome.ERROR),
     (answering(status(503, b"Srv-Declined: 0")), Outcome.ERROR),
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize(("script", "outcome"), MAY_HAVE_RUN)
-def test_request_that_may_have_run_is_failed_and_not_retried(script: Any, outcome: int | None) -> None:
+def test_request_that_may_have_run_is_failed_and_not_retried(script: Any, outcome: int) -> None:
     async def test() -> None:
         async with (
             endpoint(script) as served,
@@ -167,11 +167,40 @@
             sidecar(served.dial, other.dial) as node,
         ):
             client = await node.client()
-            code, _, _ = await client.ask(request("post", deadline="1" if outcome is None else "9"))
+            deadline = "1" if outcome == Outcome.TIMEOUT else "9"
+            code, _, _ = await client.ask(request("post", deadline=deadline))
             assert code in (502, 504)
             assert len(served.seen) + len(other.seen) == 1
             [event] = [e for e in node.events if isinstance(e, api.Completed)]
-            assert event.outcome == (Outcome.TIMEOUT if outcome is None else outcome)
+            assert event.outcome == outcome
+
+    run(test())
+
+
+# Guards against: an answer without a length that never ends is repeated, or ends as if it were whole.
+def test_answer_that_never_ends_is_broken_off_and_its_request_is_not_retried(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(connection, "STALL_TIMEOUT", 0.05)
+    endless = answering(b"HTTP/1.1 200 OK\r\n\r\nno length, and then")
+
+    async def test() -> None:
+        async with (
+            endpoint(endless) as served,
+            endpoint(endless) as other,
+            sidecar(served.dial, other.dial) as node,
+        ):
+            client = await node.client()
+            client.writer.write(request("post", deadline="0.2"))
+            received = bytearray()
+            with pytest.raises(ConnectionError):
+                while piece := await client.reader.read(1000):
+                    received += piece
+            assert received.startswith(b"HTTP/1.1 200 OK\r\n") and b"no length, and then" in received
+            assert not received.endswith(b"0\r\n\r\n")
+            assert len(served.seen) + len(other.seen) == 1
+            figures = node.host.status_report.figures()
+            assert (figures["passed"]["post"], figures["bad_gateway"]["post"]) == (0, 1)
 
     run(test())
 
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -136,7 +136,7 @@
 
     with caplog.at_level(logging.INFO, "sprucenotch.access"):
         run(test())
-    [fields] = (record.__dict__["fields"] for record in caplog.records if record.message == "request")
+    [fields] = (record.__dict__["fields"] for record in caplog.records if record.getMessage() == "request")
     kept = {name: fields[name] for name in ("cls", "outcome", "attempts", "engine", "passed_over")}
     assert kept == {"cls": "post", "outcome": "served", "attempts": 1, "engine": "s-0", "passed_over": 0}
     assert fields["took_ms"] >= fields["attempt_ms"] > 0
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import contextlib
+import gc
 import itertools
 import logging
 import select
 import socket
 import time
+import tracemalloc
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, cast
 
@@ -21,7 +24,12 @@
 from sprucenotch.node import config, connection, frontend
 from sprucenotch.node.connection import Answer
 from sprucenotch.node.exchange import Exchange
-from sprucenotch.node.frontend import REQUEST_CHECK_INTERVAL, ClientConnection, Frontend
+from sprucenotch.node.frontend import (
+    REQUEST_CHECK_INTERVAL,
+    USUAL_HEAD_SIZE,
+    ClientConnection,
+    Frontend,
+)
 from sprucenotch.node.ledger import Incoming
 from sprucenotch.node.request_time_limit import BODY_CHECK_START, HEAD_TIMEOUT, MIN_BODY_RATE
 from sprucenotch.node.rules import Rules
@@ -494,7 +502,7 @@
 
     with caplog.at_level(logging.DEBUG, "sprucenotch.node.connection"):
         run(test())
-    [fields] = (r.__dict__["fields"] for r in caplog.records if r.message == "server connection closed")
+    [fields] = (r.__dict__["fields"] for r in caplog.records if r.getMessage() == "server connection closed")
     assert (fields["reason"], fields["in_answer"]) == ("answer dropped", True) and fields["local_port"]
 
 
@@ -924,3 +932,82 @@
     exchange.upload.set_paused(False)
     peer.feed(LONG[1000:])
     assert peer.host.received == [(b"POST", LONG)]
+
+
+# Guards against: a header that does not end fills the memory of the process while it is awaited.
+@pytest.mark.parametrize(
+    "begin",
+    [
+        b"GET /api HTTP/1.1\r\nX-Long: ",
+        b"GET /api HTTP/1.1\r\n",
+        post_head(CHUNKED) + b"0\r\nX-Trailer: ",
+        post_head(CHUNKED) + b"5;extension=",
+    ],
+)
+def test_client_that_sends_a_field_without_an_end_is_rejected(begin: bytes) -> None:
+    peer = Peer()
+    peer.feed(begin)
+    for _ in range(3):
+        assert peer.output == b""
+        peer.feed(b"x" * (MAX_READ_SIZE // 2))
+    assert peer.output.startswith(b"HTTP/1.1 431 ")
+    assert peer.host.received == [] and peer.host.budget.used == 0
+
+
+# Guards against: the same from a server.
+@pytest.mark.parametrize("begin", [b"X-Long: ", b"", b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "])
+def test_server_that_sends_a_field_without_an_end_is_closed(begin: bytes) -> None:
+    async def endless(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await head_of(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n" + begin + b"x" * 4 * MAX_READ_SIZE)
+        await reader.read()
+
+    async def test() -> None:
+        async with raw_engine(endless) as dial, sidecar(dial) as node:
+            assert (await (await node.client()).ask(request("post")))[0] == 502
+            await wait_until_released(node)
+
+    run(test())
+
+
+MANY_FIELDS = b"".join(b"x%x:%d\r\n" % (n, n % 10) for n in range(4000))
+
+
+# Guards against: what is kept of a head is many times its bytes, and is not counted.
+def test_memory_of_a_head_of_many_short_fields_is_reserved_and_in_proportion_to_its_bytes() -> None:
+    peer = Peer()
+    tracemalloc.start()
+    try:
+        peer.feed(post_head(MANY_FIELDS)[:-2])
+        kept, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(MANY_FIELDS) < peer.host.budget.used + USUAL_HEAD_SIZE < 2 * len(MANY_FIELDS)
+    assert kept < 2 * len(MANY_FIELDS) + 4 * USUAL_HEAD_SIZE
+    peer.feed(b"\r\n")
+    assert peer.host.received == [(b"POST", b"")] and peer.host.budget.used == 0
+
+
+# Guards against: heads that are never completed fill the memory that is left for others.
+def test_incomplete_head_without_memory_is_refused_and_can_be_repeated() -> None:
+    peer = Peer()
+    peer.host.budget.max_bytes = len(MANY_FIELDS) // 2
+    peer.feed(post_head(MANY_FIELDS)[:-2])
+    assert peer.output.startswith(b"HTTP/1.1 503 ")
+    assert peer.host.received == [] and peer.host.budget.used == 0
+
+
+# Guards against: connections that have ended stay in memory until the next garbage collection.
+@pytest.mark.parametrize("sent", [b"", request(), request()[:-2], b"no HTTP\r\n\r\n"])
+def test_ended_client_connection_is_freed_at_once(sent: bytes) -> None:
+    peer = Peer()
+    gone = weakref.ref(peer.connection)
+    gc.disable()
+    try:
+        peer.feed(sent)
+        peer.connection.connection_lost(None)
+        peer.loop.timers.clear()
+        del peer.connection
+        assert gone() is None
+    finally:
+        gc.enable()
