Incomplete requests give way if connections or memory run out

Cause: an incomplete request held its connection and its memory for up to 2.5 s, and nothing could take them back; a new connection at the limit was closed over its request. Ruled out: descriptors (the limit is the program's own third), the queue of the listener.

Change: policy/incomplete.py decides: the request that has been arriving for longest, from 0.25 s on, is refused with a 503, which is harmless, as it was never whole. At the limit of connections the order is: those whose last answer is sent, used idle ones, idle ones, the slowest incomplete one. While all are too young, new connections wait in the kernel's queue, 0.25 s at most. Without memory the same choice among those that hold some. Counted as incomplete_given_up, and logged at debug with connection, phase and bytes. A rejected request releases its parser and its head at once.

--- a/sprucenotch/node/acceptor.py
+++ b/sprucenotch/node/acceptor.py
@@ -29,6 +29,8 @@
 # stop at 0.4 s and accepting at 0.6 s; the kill comes 0.7 s plus the longest deadline after the signal.
 CLOSE_TIMEOUT = 0.3
 
+ROOM_CHECK_INTERVAL = 0.02  # seconds: a connection may end before the time that was expected
+
 log = logging.getLogger(__name__)
 
 
@@ -36,7 +38,8 @@
     """Accepts the connections of a listening socket one at a time: each gets its protocol before the next.
 
     `free_descriptor` closes an idle connection, if there is one; it is called while descriptors stay short.
-    `count` is called for each accept that failed.
+    `count` is called for each accept that failed. While `seconds_until_room` returns a time, new connections
+    wait in the kernel's queue.
     """
 
     def __init__(
@@ -45,8 +48,10 @@
         protocol: Callable[[], asyncio.BufferedProtocol],
         free_descriptor: Callable[[], None],
         count: Callable[[str], None],
+        seconds_until_room: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._listener, self._protocol = listener, protocol
+        self._seconds_until_room = seconds_until_room
         self._free_descriptor, self._count = free_descriptor, count
         self._loop = asyncio.get_running_loop()
         self._waiting: asyncio.Future[None] | None = None  # for the next connection
@@ -78,6 +83,9 @@
             self._listener.close()
 
     async def _accept_or_wait(self) -> None:
+        if wait := self._seconds_until_room():
+            await asyncio.sleep(min(wait, ROOM_CHECK_INTERVAL))
+            return
         try:
             accepted, _ = self._listener.accept()
         except BlockingIOError:
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -37,6 +37,7 @@
     chunk,
 )
 from sprucenotch.node.transport import SocketTransport
+from sprucenotch.policy.incomplete import choose_to_give_up, seconds_until_choice
 
 log = logging.getLogger(__name__)
 
@@ -81,6 +82,7 @@
         self._write_blocked = False  # the client does not read its answers
         self._reading_paused = False
         self._unused = True  # no request has begun to arrive yet
+        self._request_began_at = self._accepted_at  # the request being read
         # Active while the first request is awaited or a request is incomplete.
         self._request_timer: asyncio.TimerHandle | None = None
         # Active while the client does not read its answers, and while input is discarded after the last one.
@@ -111,6 +113,40 @@
         """Seconds since the connection was accepted."""
         return self.frontend.loop.time() - self._accepted_at
 
+    @property
+    def arriving_for(self) -> float:
+        """Seconds since the first byte of the request that is being read."""
+        return self.frontend.loop.time() - self._request_began_at
+
+    @property
+    def incomplete(self) -> bool:
+        """Whether it waits for the rest of a request, and for nothing else."""
+        others = any(exchange is not self._exchange for exchange in self._exchanges)
+        return self._reading and not others and not self._discarding and not self._unread()
+
+    @property
+    def holds_memory(self) -> bool:
+        """Whether refusing its incomplete request would release reserved memory."""
+        exchange = self._exchange
+        uploading = exchange is not None and exchange.upload is not None and exchange.answer is None
+        return (self._reserved > 0 or uploading) and self.incomplete
+
+    @property
+    def lingering(self) -> bool:
+        """Whether its last answer has been sent, and the rest of its input is only discarded."""
+        return self._last_answer_sent and not self._unread()
+
+    def give_up_incomplete(self, close: bool) -> None:
+        """Refuse the request that is being read, to free its memory, and with `close` its descriptor too."""
+        self.frontend.host.count("incomplete_given_up")
+        event(
+            log, logging.DEBUG, "incomplete request given up", connection=self.number, for_descriptor=close,
+            in_body=self._head_received, bytes=self._head_size + self._body_size,
+        )  # fmt: skip
+        self._reject(BadRequest(503, "refused, as its rest did not arrive; trying again is harmless"))
+        if close:
+            self.free_descriptor()
+
     @property
     def has_unread_request(self) -> bool:
         """Whether its first request, or a part of it, is in the kernel's buffer and not read yet."""
@@ -300,6 +336,8 @@
         self._discarding = True
         self._cancel_request_timer()
         self._release_reserved()
+        self._head, self._body = RequestHead(), bytearray()
+        self._parser = httptools.HttpRequestParser(self)  # the old one holds what it has not reported
         exchange = self._exchange
         if exchange is None:
             exchange = Exchange(self.flush, self.connected, closes_connection=True, http10=False)
@@ -466,7 +504,7 @@
         if missing <= 0:
             return
         missing += -missing % HEAD_RESERVATION_STEP
-        if not self.frontend.host.budget.reserve(missing):
+        if not self.frontend.reserve(missing, self):
             self.frontend.host.count("no_room")
             self._fail_parsing(503, "no memory for this head; trying again is harmless")
         self._reserved += missing
@@ -475,6 +513,7 @@
         self._unreported = 0
         self._unused = False
         self._reading = True
+        self._request_began_at = self.frontend.loop.time()
 
     def on_url(self, url: bytes) -> None:
         self._unreported = 0
@@ -541,7 +580,7 @@
         )
         head_size = 2 * unusual_size(len(self._incoming.head))  # an attempt is built of a copy of it
         missing = head_size + body_size + ANSWER_RESERVATION - self._reserved
-        if not self.frontend.host.budget.reserve(missing):
+        if not self.frontend.reserve(missing, self):
             self._release_reserved()
             self.frontend.host.count_memory_refusal(self._incoming)
             exchange.refuse(0)
@@ -658,6 +697,12 @@
         exchange.answer_with_text(200 if ready else 503, b"up" if ready else b"no endpoint is known yet")
 
 
+def slowest_of(incomplete: list[ClientConnection]) -> ClientConnection | None:
+    """Return the connection whose incomplete request is given up for others, if any is."""
+    chosen = choose_to_give_up([connection.arriving_for for connection in incomplete])
+    return None if chosen is None else incomplete[chosen]
+
+
 class Frontend:
     """The client connections of a sidecar, their limit and the drain."""
 
@@ -680,10 +725,42 @@
         if len(self._connections) >= self._max_connections:
             open_connections = self._open_connections()
             if len(open_connections) >= self._max_connections:
-                # Over the limit: close an idle connection, or else the new one.
-                next(itertools.chain(self._closable(open_connections), (connection,))).free_descriptor()
+                self._make_room(open_connections, connection)
         self._connections[connection] = None
 
+    def _make_room(self, open_connections: list[ClientConnection], newcomer: ClientConnection) -> None:
+        """Over the limit: close a connection whose close loses nothing, else refuse an incomplete request,
+        else close the new connection."""
+        closable = next(self._closable(open_connections), None)
+        if closable is not None:
+            closable.free_descriptor()
+        elif (slowest := slowest_of([c for c in open_connections if c.incomplete])) is not None:
+            slowest.give_up_incomplete(close=True)
+        else:
+            newcomer.free_descriptor()
+
+    def seconds_until_room(self) -> float:
+        """In how many seconds a new connection can be accepted without closing one that is needed; 0 also if
+        waiting does not help."""
+        if len(self._connections) < self._max_connections:
+            return 0.0
+        open_connections = self._open_connections()
+        if len(open_connections) < self._max_connections:
+            return 0.0
+        if next(self._closable(open_connections), None) is not None:
+            return 0.0
+        return seconds_until_choice([c.arriving_for for c in open_connections if c.incomplete]) or 0.0
+
+    def reserve(self, size: int, requester: ClientConnection) -> bool:
+        """Reserve memory for a request that is being read. Others that have been incomplete for long are
+        refused for it. Returns False if that is not enough."""
+        while not self.host.budget.reserve(size):
+            incomplete = [c for c in self._open_connections() if c.holds_memory and c is not requester]
+            if (slowest := slowest_of(incomplete)) is None:
+                return False
+            slowest.give_up_incomplete(close=False)
+        return True
+
     def next_number(self) -> int:
         """Return a number that identifies a new connection in the log."""
         self._last_number += 1
@@ -703,13 +780,14 @@
         return [c for c in self._connections if not c.closing]
 
     def _closable(self, open_connections: list[ClientConnection]) -> Iterator[ClientConnection]:
-        """Connections that may be closed, best first. Closing a used one loses nothing: a request that
-        crosses the close is sent again by the client. Idle ones follow. One whose first request has arrived
-        in part is never closed for this; `RequestTimeLimit` ends the wait for a request that stays
-        incomplete."""
+        """Connections that may be closed, best first: those whose last answer has been sent, then used ones
+        (a request that crosses the close is sent again by the client), then idle ones. One whose first
+        request has arrived in part is never closed for this; `RequestTimeLimit` ends the wait for a request
+        that stays incomplete."""
+        lingering = (c for c in open_connections if c.lingering)
         done = (c for c in open_connections if c.used_and_idle)
         idle = (c for c in open_connections if c.idle and not c.has_unread_request)
-        return itertools.chain(done, idle)
+        return itertools.chain(lingering, done, idle)
 
     def closed(self, connection: ClientConnection) -> None:
         self._connections.pop(connection, None)
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -93,7 +93,10 @@
 
     host.rules.started(host.may_take_clients)
     await listening(listener)
-    acceptor = Acceptor(listener, partial(ClientConnection, frontend), frontend.free_descriptor, host.count)
+    acceptor = Acceptor(
+        listener, partial(ClientConnection, frontend), frontend.free_descriptor, host.count,
+        frontend.seconds_until_room,
+    )  # fmt: skip
     frontend.listening = True
     event(log, logging.INFO, "ready")
     await stop_requested.wait()
--- /dev/null
+++ b/sprucenotch/policy/incomplete.py
@@ -0,0 +1,24 @@
+"""Chooses the incomplete request that is refused if connections or memory run out.
+
+A request is taken with its last byte: one that is still arriving may be refused, and its client may repeat
+it. Requests are given as the seconds since the first byte of each.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+# Seconds in which a request arrives whole, unless its client writes slowly or has stopped: network delay and
+# a client that is held up.
+MAX_USUAL_ARRIVAL = 0.25
+
+
+def choose_to_give_up(arriving_for: Sequence[float]) -> int | None:
+    """Return the index of the request to refuse: the oldest. None if all may be complete in a moment."""
+    longest = max(arriving_for, default=0.0)
+    return arriving_for.index(longest) if longest >= MAX_USUAL_ARRIVAL else None
+
+
+def seconds_until_choice(arriving_for: Sequence[float]) -> float | None:
+    """Return in how many seconds one may be refused, if none is complete before; None if there is none."""
+    return max(0.0, MAX_USUAL_ARRIVAL - max(arriving_for)) if arriving_for else None
--- /dev/null
+++ b/tests/test_incomplete.py
@@ -0,0 +1,83 @@
+"""Requests that never become whole give way to those that do, if connections or memory run out."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from sprucenotch.node.stream import ANSWER_RESERVATION, MAX_BUFFERED_BODY_SIZE
+from sprucenotch.policy.incomplete import MAX_USUAL_ARRIVAL, choose_to_give_up, seconds_until_choice
+from tests.sidecar import always_ok, endpoint, request, run, sidecar
+
+MAX_CLIENTS = 4
+HALF_HEAD = request()[:-2]
+HALF_BODY = request("post", body=b"b" * 60_000)[:-30_000]
+HALF_UPLOAD = request("post", body=b"u" * 200_000)[:-100_000]
+
+
+def test_request_that_has_been_arriving_for_longest_is_given_up() -> None:
+    young, old, oldest = 0.01, MAX_USUAL_ARRIVAL, 2.0
+    assert choose_to_give_up([young, oldest, old]) == 1
+    assert choose_to_give_up([young, old]) == 1
+    assert choose_to_give_up([young]) is None and choose_to_give_up([]) is None
+    assert seconds_until_choice([young]) == pytest.approx(MAX_USUAL_ARRIVAL - 0.01)
+    assert seconds_until_choice([young, old]) == 0.0 and seconds_until_choice([]) is None
+
+
+# Guards against: incomplete requests hold all connections, and new clients are closed unread.
+@pytest.mark.parametrize("half", [HALF_HEAD, HALF_BODY, HALF_UPLOAD])
+def test_new_client_is_served_where_incomplete_requests_hold_all_connections(half: bytes) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            node.frontend._max_connections = MAX_CLIENTS
+            slow = [await node.client() for _ in range(MAX_CLIENTS)]
+            for client in slow:
+                client.writer.write(half)
+            while sum(c.incomplete for c in node.frontend._connections) < MAX_CLIENTS:
+                await asyncio.sleep(0.001)
+            oldest = next(iter(node.frontend._connections))
+            oldest._request_began_at -= MAX_USUAL_ARRIVAL
+            code, _, _ = await (await node.client()).ask(request())
+            assert code == 200
+            assert (await slow[0].answer())[0] == 503  # harmless to repeat: it was never whole
+            assert node.host.telemetry.events["incomplete_given_up"] == 1
+            assert not node.host.telemetry.violations.total()
+
+    run(test())
+
+
+# Guards against: the same, while all of them are too young to be given up.
+def test_new_client_waits_until_an_incomplete_request_may_be_given_up() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            node.frontend._max_connections = MAX_CLIENTS
+            slow = [await node.client() for _ in range(MAX_CLIENTS)]
+            for client in slow:
+                client.writer.write(HALF_HEAD)
+            while sum(c.incomplete for c in node.frontend._connections) < MAX_CLIENTS:
+                await asyncio.sleep(0.001)
+            assert 0 < node.frontend.seconds_until_room() <= MAX_USUAL_ARRIVAL
+            assert (await (await node.client()).ask(request()))[0] == 200
+            assert not node.host.telemetry.violations.total()
+
+    run(test())
+
+
+# Guards against: incomplete requests hold all memory, and complete ones are refused.
+@pytest.mark.parametrize("half", [HALF_BODY, HALF_UPLOAD])
+def test_request_gets_the_memory_of_one_that_stays_incomplete(half: bytes) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            node.host.budget.max_bytes = MAX_BUFFERED_BODY_SIZE + ANSWER_RESERVATION
+            slow, client = await node.client(), await node.client()
+            slow.writer.write(half)
+            while not any(c.holds_memory for c in node.frontend._connections):
+                await asyncio.sleep(0.001)
+            [holder] = (c for c in node.frontend._connections if c.holds_memory)
+            assert (await client.ask(request("post", body=b"x" * 60_000)))[0] == 503  # it may be whole soon
+            holder._request_began_at -= MAX_USUAL_ARRIVAL
+            assert (await client.ask(request("post", body=b"x" * 60_000)))[0] == 200
+            assert (await slow.answer())[0] == 503
+
+    run(test())
