The time of a request counts from its last byte, also while the sidecar leaves it unread

While a server does not take the body the sidecar stops reading, and the byte waits in the kernels' buffers.

Change: node/arrival.py keeps since when the rest of a client's input may have been waiting: from a pause, or a read that left input, until the kernel's buffer stays empty; bounded by what kernels can hold. An upload of which that time is over is ended: as it was never sent whole, it is refused. It goes on where its last byte is certainly not written yet: more is missing than the kernels hold, or the receive buffer is nearly empty and lacks it. Logged at debug as "upload overdue". Price: an upload in chunks whose server reads slower than its client writes is refused after its deadline although its client may still be writing.

--- a/sprucenotch/node/exchange.py
+++ b/sprucenotch/node/exchange.py
@@ -13,7 +13,7 @@
 class Exchange:
     """A request on a client's connection and its answer, which is sent in the order of the requests."""
 
-    __slots__ = ("_flush", "answer", "closes_connection", "connected", "http10", "id", "upload")
+    __slots__ = ("_flush", "answer", "closes_connection", "connected", "http10", "id", "unread_for", "upload")
 
     def __init__(
         self, flush: Callable[[], None], connected: Callable[[], bool], closes_connection: bool, http10: bool
@@ -22,6 +22,7 @@
         self.closes_connection = closes_connection  # whether the connection ends after its answer
         self.http10 = http10  # has no chunked coding, and closes the connection unless keep-alive is stated
         self.id = 0  # in the ledger; 0: not in the ledger
+        self.unread_for = 0.0  # seconds for which its last byte may have waited to be read
         self.answer: Answer | None = None
         self.upload: Stream | None = None
 
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -15,7 +15,8 @@
 
 import httptools
 
-from sprucenotch.node.config import Config
+from sprucenotch.node.arrival import MAX_KERNEL_BUFFERS, Arrival
+from sprucenotch.node.config import SECOND, Config
 from sprucenotch.node.connection import HEADER_WHITESPACE, MAX_HEAD_SIZE, Answer
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.head import BadRequest, HeadRules, RequestHead, head
@@ -44,6 +45,7 @@
 USUAL_HEAD_SIZE = 4096  # bytes; only what exceeds it is reserved in the budget
 HEAD_RESERVATION_STEP = 4096  # bytes of memory that an incomplete head reserves at a time
 MAX_PIPELINED_REQUESTS = 16  # per connection, counting the one being answered
+UPLOAD_CHECK_INTERVAL = 0.1  # seconds between checks whether a body has waited too long to be read
 REQUEST_CHECK_INTERVAL = 0.25  # seconds between checks of an incomplete request
 # Seconds between checks whether the client has left while reading is paused. It bounds how long memory,
 # connection slots and partly sent requests are kept for a client that left; attempts do not depend on it, as
@@ -88,6 +90,8 @@
         # Active while the client does not read its answers, and while input is discarded after the last one.
         self._stall_timer: asyncio.TimerHandle | None = None
         self._disconnect_timer: asyncio.TimerHandle | None = None  # while reading is paused
+        self._upload_timer: asyncio.TimerHandle | None = None  # while a body is streamed
+        self._arrival = Arrival()
         self._request_timeout = RequestTimeLimit()
         self._rules = frontend.rules  # with which the last head was checked
         self._unreported = 0  # bytes of input since the parser last reported anything
@@ -188,6 +192,7 @@
         self._cancel_request_timer()
         self._set_stall_timer(False)
         self._schedule_disconnect_check(False)
+        self._schedule_upload_check(False)
         self.frontend.closed(self)
         self._release_reserved()
         for exchange in self._exchanges:
@@ -245,6 +250,8 @@
         if self._discarding:
             return
         self._request_timeout.byte_received()
+        more = nbytes == len(self.get_buffer(-1)) and self._unread()
+        self._arrival.read(nbytes, more, self.frontend.loop.time())
         self._unreported += nbytes
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
@@ -308,6 +315,43 @@
     def _on_upload_paused(self, paused: bool) -> None:
         self._update_reading()
 
+    def _schedule_upload_check(self, active: bool) -> None:
+        if self._upload_timer is not None:
+            self._upload_timer.cancel()
+            self._upload_timer = None
+        if active:
+            self._upload_timer = self.frontend.loop.call_later(
+                UPLOAD_CHECK_INTERVAL, self._check_upload_overdue
+            )
+
+    def _check_upload_overdue(self) -> None:
+        """End an upload whose last byte may have waited unread for all of its time, as its server reads
+        slowly."""
+        exchange, incoming = self._exchange, self._incoming
+        self._schedule_upload_check(False)
+        if exchange is None or incoming is None or exchange.upload is None or exchange.answer is not None:
+            return
+        now = self.frontend.loop.time()
+        if self._client_still_writing(exchange.upload.length):
+            self._arrival.client_still_writing(now)
+        exchange.unread_for = self._arrival.unread_for(now)
+        if exchange.unread_for * SECOND >= incoming.deadline - UPLOAD_CHECK_INTERVAL * SECOND:
+            event(
+                log, logging.DEBUG, "upload overdue", connection=self.number, request=exchange.id,
+                unread_for_ms=round(exchange.unread_for * 1000), bytes=self._body_size,
+            )  # fmt: skip
+            self.frontend.host.uploaded(exchange.id)
+        else:
+            self._schedule_upload_check(True)
+
+    def _client_still_writing(self, length: int | None) -> bool:
+        """Whether it is certain that the client has not written all of a body of that length."""
+        if length is None or self._transport is None:
+            return False
+        held = self._transport.holds_at_most()
+        remaining = length - self._body_size
+        return remaining > MAX_KERNEL_BUFFERS or (held is not None and remaining > held)
+
     def _update_reading(self) -> None:
         """Pause or resume reading. A request body is read, or discarded, even if answers are blocked: a
         client may write all of it before it reads."""
@@ -325,6 +369,7 @@
             )
             self._schedule_disconnect_check(stop)
             if stop:
+                self._arrival.paused(self.frontend.loop.time())
                 self._transport.pause_reading()
             else:
                 self._transport.resume_reading()
@@ -611,6 +656,7 @@
         """Pass a long request to the host; its body is streamed."""
         framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
         exchange.upload = Stream(self._on_upload_paused, length)
+        self._schedule_upload_check(True)
         reservation, self._reserved = self._reserved, 0
         self.frontend.host.request(
             exchange, incoming._replace(head=incoming.head + framing), reservation, exchange.upload
@@ -665,6 +711,9 @@
 
     def _complete_request(self, exchange: Exchange | None, incoming: Incoming | None) -> None:
         """Pass on a request that is complete, or the last part of its body."""
+        self._schedule_upload_check(False)
+        if exchange is not None:
+            exchange.unread_for = self._arrival.unread_for(self.frontend.loop.time())
         if self._discarding or exchange is None or exchange.answer is not None:
             self._release_reserved()
         elif exchange.upload is not None:
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -116,9 +116,9 @@
         longest = max(cls.limit for cls in self._settings.classes)
         self._drain_deadline = self.now() + min(longest, MAX_DRAIN_DEADLINE) + DRAIN_KILL_GRACE - DRAIN_MARGIN
 
-    def _answer_deadline(self, now: int, deadline: int) -> int:
-        """Return when a request that is complete now has to be answered."""
-        expires_at = now + deadline - DEADLINE_MARGIN if deadline > DEADLINE_MARGIN else now
+    def _answer_deadline(self, arrived_at: int, deadline: int) -> int:
+        """Return when a request whose last byte came at that time has to be answered."""
+        expires_at = arrived_at + max(0, deadline - DEADLINE_MARGIN)
         return expires_at if self._drain_deadline is None else min(expires_at, self._drain_deadline)
 
     def learn(self, host_list: HostList, kind: int) -> None:
@@ -204,7 +204,7 @@
         self.count("requests")
         self._last_id += 1
         rid, now = self._last_id, self.now()
-        expires_at = self._answer_deadline(now, incoming.deadline)
+        expires_at = self._answer_deadline(now - int(client.unread_for * SECOND), incoming.deadline)
         cls = self._settings.classes[self._class_numbers[incoming.cls]]
         request = self._open[rid] = OpenRequest(
             rid, client, incoming, expires_at, self._settings.max_attempts, reservation, upload, cls.effect,
@@ -236,12 +236,17 @@
         request.deadline_timer = self._loop.call_later(seconds_left, self._at_deadline, request)
 
     def uploaded(self, rid: int) -> None:
-        """Note that the last byte of a streamed request has arrived; its deadline counts from now."""
+        """Note that the last byte of a streamed request has arrived, or that it may have arrived so long ago
+        that its time is over. Its deadline counts from then."""
         request = self._open.get(rid)
-        if request is None or request.answered:
+        if request is None or request.answered or request.received:
             return
         now, request.uploading = self.now(), False
-        request.sent_at, request.expires_at = now, self._answer_deadline(now, request.incoming.deadline)
+        arrived_at = now - int(request.client.unread_for * SECOND)
+        request.sent_at, request.expires_at = (
+            now,
+            self._answer_deadline(arrived_at, request.incoming.deadline),
+        )
         request.attempt_deadline = request.expires_at
         self._request_received(request)
         if request.attempt is not None:
--- a/sprucenotch/node/ledger.py
+++ b/sprucenotch/node/ledger.py
@@ -19,6 +19,7 @@
     """The receiver of a request's final answer. It calls `Host.finish_request` once that has been sent."""
 
     id: int  # of the request in the ledger
+    unread_for: float  # seconds for which the last byte of its request may have waited to be read
 
     def serve(self, answer: Answer) -> None: ...
 
--- a/sprucenotch/node/transport.py
+++ b/sprucenotch/node/transport.py
@@ -10,10 +10,13 @@
 import asyncio
 import contextlib
 import errno
+import fcntl
 import logging
 import os
 import select
 import socket
+import struct
+import termios
 from collections.abc import Callable, Iterator
 from select import EPOLLIN, EPOLLOUT
 from typing import cast
@@ -25,6 +28,10 @@
 # Seconds of failing reads or writes after which a connection counts as lost. Every waiting party has an
 # earlier limit of its own: the request's deadline, a call's timeout, STALL_TIMEOUT for a body.
 FAILING_TIMEOUT = 10.0
+# A receive buffer whose input takes less than its size by this factor has room for more: a part of it is used
+# up by the kernel's own data (tcp(7), tcp_adv_win_scale).
+MIN_ROOM_FACTOR = 8
+UNREAD_SIZE = struct.Struct("i")  # the result of FIONREAD
 
 log = logging.getLogger(__name__)
 
@@ -106,6 +113,20 @@
     def is_closing(self) -> bool:
         return self._closing or self._lost
 
+    def holds_at_most(self) -> int | None:
+        """Bytes of input that the kernel holds, if its buffer is so empty that it has all that the peer has
+        sent; else, or if that cannot be read, None."""
+        if self._lost:
+            return None
+        try:
+            unread = bytearray(UNREAD_SIZE.size)
+            fcntl.ioctl(self._socket.fileno(), termios.FIONREAD, unread)
+            size = int(UNREAD_SIZE.unpack(unread)[0])
+            room = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        except OSError:
+            return None
+        return size if size < room // MIN_ROOM_FACTOR else None
+
     def events(self) -> int:
         """The events that poll reports now: POLLIN, POLLRDHUP, POLLHUP, POLLERR; 0 once the connection is
         lost. If poll fails, POLLIN, as input may be unread."""
--- a/sprucenotch/testbed/pressure/peers.py
+++ b/sprucenotch/testbed/pressure/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
@@ -268,6 +269,8 @@
         """Write a large request at once, and judge when its final answer comes."""
         reader, writer = streams
         writer.transport.set_write_buffer_limits(high=0)
+        # The kernel takes all at once, and the last byte waits there for the sidecar.
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
         size = self._rng.choice((100_000, 400_000, 800_000))
         rate, stops = self._rng.choice((50_000.0, 100_000.0, 400_000.0)), self._rng.random() < 0.4
         form = AnswerForm(read_limit=30_000) if stops else AnswerForm(read_rate=rate)
--- a/sprucenotch/testbed/pressure/server.py
+++ b/sprucenotch/testbed/pressure/server.py
@@ -14,7 +14,9 @@
 
 MAX_HEAD = 1 << 20  # bytes
 READ_SIZE = 8192  # bytes
-RECEIVE_BUFFER = 16 * 1024  # bytes of the kernel's buffer, so that a slow reader is one for the sidecar too
+# A small buffer of the kernel and the segment size of an Ethernet link: a slow reader is one for the sidecar
+# too, for which loopback would otherwise hold megabytes.
+RECEIVE_BUFFER, SEGMENT_SIZE = 4096, 1448  # bytes
 
 
 class Begun(NamedTuple):
@@ -36,6 +38,7 @@
     async def start(self) -> None:
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_SIZE)
         listener.bind((HOST, 0))
         self._server = await asyncio.start_server(self._serve, sock=listener, backlog=1024, limit=MAX_HEAD)
         self.dial = f"{HOST}:{listener.getsockname()[1]}"
--- a/tests/planted_hunt.py
+++ b/tests/planted_hunt.py
@@ -184,7 +184,11 @@
 
 def ignore_kill_deadline() -> None:
     """Requests that arrive late after SIGTERM keep their whole deadline."""
-    Host._answer_deadline = lambda self, now, deadline: now + deadline - 10_000_000  # type: ignore[method-assign]
+
+    def planted(self: Host, arrived_at: int, deadline: int) -> int:
+        return arrived_at + deadline - 10_000_000
+
+    Host._answer_deadline = planted  # type: ignore[method-assign]
 
 
 def give_up_discovery() -> None:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -638,6 +638,9 @@
         self.closed = False
         self.socket, self.other_end = socket.socketpair()
 
+    def holds_at_most(self) -> int | None:
+        return None
+
     def get_extra_info(self, name: str) -> socket.socket:
         return self.socket
 
