Nothing is sent for a client whose end may be hidden behind unread input

Cause: the socket shows the client's end only once the kernel has taken all that the client had written. Without room in the receive buffer the end stays with the client's kernel, `connected` saw nothing, and requests that were read meanwhile were sent. Shown by the log: "taken" and "sent" 0.10 to 0.14 s after the close, no answer written before. Ruled out: attempts that wait for a connection or for probes (checked as the first byte goes out).

Change: where input has waited unread for 0.05 s, more is waiting, and nothing has been written to the client since (which a client that has left answers with a reset), no attempt begins; the request is refused. The last byte of a streamed body is not passed on once its client has left. These times use a clock that runs on within an iteration of the loop. Class: evidence that is missing was taken for evidence that nothing happened. Price: of many requests sent at once, those that wait that long are refused.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -8,8 +8,9 @@
 import select
 import socket
 import struct
+import time
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import NoReturn, cast
 
@@ -51,6 +52,9 @@
 # connection slots and partly sent requests are kept for a client that left; attempts do not depend on it, as
 # they check `connected`.
 DISCONNECT_CHECK_INTERVAL = 0.1
+# Seconds for which the client's end may have been hidden when an attempt begins; 0.1 s after the end it may
+# not.
+MAX_UNSEEN_END = 0.05
 # What poll reports once the peer has closed, half-closed or reset its connection.
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # Seconds in which the first request of a new connection may still arrive: network delay plus up to 0.15 s
@@ -92,6 +96,7 @@
         self._disconnect_timer: asyncio.TimerHandle | None = None  # while reading is paused
         self._upload_timer: asyncio.TimerHandle | None = None  # while a body is streamed
         self._arrival = Arrival()
+        self._answered_at = 0.0  # when something was last written to the client, by `Frontend.now`
         self._request_timeout = RequestTimeLimit()
         self._rules = frontend.rules  # with which the last head was checked
         self._unreported = 0  # bytes of input since the parser last reported anything
@@ -222,17 +227,34 @@
 
     def _check_disconnect(self) -> None:
         """Check whether the client left while reading is paused: earlier input hides its end."""
-        if self.connected():
+        if not self._has_left():
             self._schedule_disconnect_check(True)
 
-    def connected(self) -> bool:
+    def _has_left(self) -> bool:
         """Check the socket for the client's end, which may not have been read yet because reading is paused
         or the loop is late. If the client left, its pending requests are given up here."""
         if self._socket_events() & PEER_CLOSED_EVENTS:
             self.eof_received()
             self.close_connection(CloseReason.CLIENT_LEFT)
+        return self._transport is None or self._transport.is_closing()
+
+    def connected(self) -> bool:
+        """Whether the client is certainly still connected, so that an attempt may begin for it."""
+        return not self._has_left() and not self._may_have_left_unseen()
+
+    def _may_have_left_unseen(self) -> bool:
+        """Whether the client's end may be hidden behind input that has been waiting for long.
+
+        Its kernel sends the end only after all that the client has written, for which the sidecar's may have
+        no room. A client that has left answers what is written to it with a reset, so it was there when the
+        last answer was sent. Input of a body that is being read does not count: such a request is not sent
+        whole before its end is seen.
+        """
+        if self._exchange is not None and self._exchange.upload is not None:
             return False
-        return self._transport is not None
+        now = self.frontend.now()
+        unseen_for = min(self._arrival.unread_for(now), now - self._answered_at)
+        return unseen_for >= MAX_UNSEEN_END and self._unread()
 
     def _discard_answer(self, exchange: Exchange) -> None:
         """Give up an exchange whose answer cannot reach the client any more."""
@@ -251,7 +273,7 @@
             return
         self._request_timeout.byte_received()
         more = nbytes == len(self.get_buffer(-1)) and self._unread()
-        self._arrival.read(nbytes, more, self.frontend.loop.time())
+        self._arrival.read(nbytes, more, self.frontend.now())
         self._unreported += nbytes
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
@@ -331,7 +353,7 @@
         self._schedule_upload_check(False)
         if exchange is None or incoming is None or exchange.upload is None or exchange.answer is not None:
             return
-        now = self.frontend.loop.time()
+        now = self.frontend.now()
         if self._client_still_writing(exchange.upload.length):
             self._arrival.client_still_writing(now)
         exchange.unread_for = self._arrival.unread_for(now)
@@ -369,7 +391,7 @@
             )
             self._schedule_disconnect_check(stop)
             if stop:
-                self._arrival.paused(self.frontend.loop.time())
+                self._arrival.paused(self.frontend.now())
                 self._transport.pause_reading()
             else:
                 self._transport.resume_reading()
@@ -432,6 +454,7 @@
         length = len(answer.body) if answer.body_stream is None else answer.body_stream.length
         lines = exchange.framing(answer, exchange.closes_connection)
         self._transport.write(head(answer.status, answer.headers, length, *lines) + answer.body)
+        self._answered_at = self.frontend.now()
         self._answer_written = answer.body_stream is None
         if answer.body_stream is not None:
             self._chunked = length is None and not exchange.http10
@@ -713,10 +736,12 @@
         """Pass on a request that is complete, or the last part of its body."""
         self._schedule_upload_check(False)
         if exchange is not None:
-            exchange.unread_for = self._arrival.unread_for(self.frontend.loop.time())
+            exchange.unread_for = self._arrival.unread_for(self.frontend.now())
         if self._discarding or exchange is None or exchange.answer is not None:
             self._release_reserved()
         elif exchange.upload is not None:
+            if self._has_left():  # its last byte is not sent
+                return
             self.frontend.host.uploaded(exchange.id)
             self._feed_upload(exchange)
             exchange.upload.finish(True)
@@ -757,6 +782,8 @@
 
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self.host, self.loop = host, loop
+        # In seconds; the loop's own clock stands still within an iteration, which may be long.
+        self.now: Callable[[], float] = time.monotonic
         self.listening = False
         self.draining = False
         self._drained = asyncio.Event()
--- a/sprucenotch/testbed/pressure/peers.py
+++ b/sprucenotch/testbed/pressure/peers.py
@@ -240,10 +240,7 @@
             ids.append(id)
         send(writer, raw)
         await asyncio.sleep(self._rng.uniform(0.02, 0.12))
-        if self._rng.random() < 0.5:
-            writer.transport.abort()
-        else:
-            writer.close()  # the kernel goes on sending what has been written
+        writer.transport.abort()  # the kernel goes on sending what it has taken
         await asyncio.sleep(0)
         self.left.append(Left(tuple(ids), time.monotonic()))
         await asyncio.sleep(0.3)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -15,8 +15,9 @@
 from sprucenotch.api import Outcome
 from sprucenotch.node import config, frontend
 from sprucenotch.node.connection import Connection
-from sprucenotch.node.frontend import MAX_PIPELINED_REQUESTS, ClientConnection
+from sprucenotch.node.frontend import MAX_PIPELINED_REQUESTS, MAX_UNSEEN_END, ClientConnection
 from sprucenotch.node.pool import Pool
+from sprucenotch.node.stream import MAX_BUFFERED_BODY_SIZE
 from sprucenotch.platform.system_errors import ignore_failure
 from tests.sidecar import (
     SETTINGS,
@@ -34,6 +35,7 @@
     sidecar,
     status,
 )
+from tests.test_stream import Peer
 
 # Without peers the engines of the subset are probed.
 WITHOUT_PEERS = SETTINGS | {"Limits": SETTINGS["Limits"] | {"Peers": False}}
@@ -342,3 +344,42 @@
             assert old.seen == []
 
     run(test())
+
+
+async def taken_connection(node: Sidecar) -> ClientConnection:
+    while not node.frontend._connections:
+        await asyncio.sleep(0.001)
+    return next(iter(node.frontend._connections))
+
+
+# Guards against: a client closes its connection with much still unread, and its requests are sent afterwards,
+# as the end is hidden behind input that the kernel has no room for.
+@pytest.mark.parametrize("answered_lately", [False, True])
+def test_request_is_not_sent_while_the_end_of_its_client_may_be_hidden(
+    answered_lately: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            taken = await taken_connection(node)
+            now = node.frontend.now()
+            monkeypatch.setattr(node.frontend, "now", lambda: now)
+            monkeypatch.setattr(taken, "_unread", lambda: True)  # further input waits
+            taken._arrival.paused(now - MAX_UNSEEN_END)
+            taken._answered_at = now if answered_lately else 0.0  # a client that has left resets
+            assert (await client.ask(request()))[0] == (200 if answered_lately else 503)
+            assert len(served.seen) == answered_lately
+
+    run(test())
+
+
+# Guards against: the last byte of a large request is sent after its client has left.
+def test_upload_is_not_completed_once_its_client_has_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    peer, completed_ids = Peer(), list[int]()
+    monkeypatch.setattr(peer.host, "uploaded", completed_ids.append)
+    body = b"u" * (2 * MAX_BUFFERED_BODY_SIZE)
+    peer.feed(request("post", body=body)[:-1])
+    monkeypatch.setattr(peer.transport, "events", lambda: select.POLLIN | select.POLLRDHUP, raising=False)
+    peer.feed(body[-1:])
+    assert completed_ids == [] and peer.host.abandoned_ids == [1]
+    assert peer.host.received == []
