An id that comes again after its client has left does not run a second time

Cause: an attempt that has been sent whole goes on when its client leaves, and nothing remembered its id. Ruled out: attempts not yet sent (they are called off).

Such an id is refused where the class is safe to repeat, else failed, with the reason "may have run". It is forgotten where the attempt proves never to have run. The end of the earlier client is looked for first, as the new connection may be read before it.

Not covered: the same id at the other process of an upgrade, which shares nothing with this one, and an id whose answer had been written when its client left.

--- a/sprucenotch/node/attempt.py
+++ b/sprucenotch/node/attempt.py
@@ -107,13 +107,14 @@
             self._connection.stream_answer_from(at)
 
     @property
-    def _fully_sent(self) -> bool:
+    def fully_sent(self) -> bool:
+        """Whether the last byte of the request has been sent: the server may run it."""
         return self._connection is not None and self._connection.request_sent
 
     @property
     def partially_sent(self) -> bool:
         """Whether only a part of the request has been sent. Closed now, it is never executed."""
-        return self._connection is not None and not self._fully_sent
+        return self._connection is not None and not self.fully_sent
 
     def abandon(self, outcome: int) -> None:
         """Cancel the attempt and close its connection, before anything else is done for the request.
@@ -121,7 +122,7 @@
         A request whose last byte has not been sent was never executed, so a timeout is then reported as a
         failure to connect.
         """
-        if outcome == Outcome.TIMEOUT and not self._fully_sent:
+        if outcome == Outcome.TIMEOUT and not self.fully_sent:
             outcome = Outcome.LOCAL_FAILURE if self._failed_locally else Outcome.CONNECT_FAILED
         if self._reuse_timer is not None:
             self._reuse_timer.cancel()
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -17,6 +17,7 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
+from sprucenotch.node.abandoned import AbandonedRequests
 from sprucenotch.node.attempt import Attempt
 from sprucenotch.node.config import SECOND, Config, HostList
 from sprucenotch.node.connection import Answer
@@ -62,6 +63,8 @@
         self.status_report = StatusReport(self._balancer, self.telemetry, self.upstream, clock.now)
         self._access = AccessLog(config.log.access_per_s)
         self._open: dict[int, OpenRequest] = {}
+        self._open_by_req_id: dict[bytes, OpenRequest] = {}  # the latest of each id
+        self._abandoned = AbandonedRequests()
         self._last_id = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -102,6 +105,8 @@
     def _set_classes(self) -> None:
         self._class_numbers = {c.name: number for number, c in enumerate(self._settings.classes)}
         self.telemetry.register_classes(self._settings.classes)
+        # Time in which an abandoned request may still run, or its repeats are dropped by servers.
+        self._abandoned_for = max(max(cls.limit, cls.window) for cls in self._settings.classes)
 
     def retune(self, config: Config) -> None:
         """Apply changed settings to requests that arrive from now on."""
@@ -213,6 +218,10 @@
         client.id = rid
         if upload is None:
             self._request_received(request)
+        if self._may_run_already(request):
+            self._turn_down_repeated(request)
+            return
+        self._open_by_req_id[incoming.req_id] = request
         self.post(
             api.Request(
                 rid,
@@ -226,6 +235,28 @@
             )
         )
 
+    def _may_run_already(self, request: OpenRequest) -> bool:
+        """Whether the same id may run for a client that has left."""
+        req_id = request.incoming.req_id
+        earlier = self._open_by_req_id.get(req_id)
+        if earlier is not None and not earlier.answered:
+            earlier.client.connected()  # calls `client_gone` if its client has left
+        return self._abandoned.may_run(req_id, self.now())
+
+    def _turn_down_repeated(self, request: OpenRequest) -> None:
+        """Answer a request whose id may run already: refused where that does no harm, else failed."""
+        if request.effect == api.Effect.SAFE:
+            self._refuse(api.Refuse(request.id, 0, api.Reason.MAY_HAVE_RUN))
+        else:
+            self._fail(api.Fail(request.id, api.Reason.MAY_HAVE_RUN))
+
+    def _remember_abandoned(self, request: OpenRequest) -> None:
+        """Remember the id of a request whose client has left, if a server may run it."""
+        out = request.attempt is not None and request.attempt.fully_sent
+        if request.may_have_run or out:
+            now = self.now()
+            self._abandoned.add(request.incoming.req_id, now, now + self._abandoned_for)
+
     def _request_received(self, request: OpenRequest) -> None:
         """Note that the last byte of a request has arrived, and start its deadline timer."""
         request.received, request.received_at = True, self.now()
@@ -259,6 +290,7 @@
         can use it (`OpenRequest.may_send`); one that is partly sent ends at once, so that the server never
         runs it."""
         if (request := self._mark_answered(rid)) is not None:
+            self._remember_abandoned(request)
             self.finish_request(rid)
             self.post(api.Gone(rid))
             if request.attempt is not None and request.attempt.partially_sent:
@@ -338,6 +370,8 @@
             request.deadline_timer = None
         if request.finished:
             self._open.pop(request.id, None)
+            if self._open_by_req_id.get(request.incoming.req_id) is request:
+                del self._open_by_req_id[request.incoming.req_id]
 
     def _mark_answered(self, rid: int) -> OpenRequest | None:
         """Mark a request as answered and return it; None if it already was. The caller sends the answer."""
@@ -429,6 +463,8 @@
     def _completed(self, request: OpenRequest, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last_outcome = None, outcome
         request.may_have_run = request.may_have_run or may_have_run(outcome)
+        if request.answered and not request.may_have_run:  # it was never run for the client that left
+            self._abandoned.remove(request.incoming.req_id)
         self.count(OUTCOMES[outcome])
         if request.attempt_timer is not None:
             request.attempt_timer.cancel()
