--- a/sprucenotch/cli/main.py
+++ b/sprucenotch/cli/main.py
@@ -14,6 +14,7 @@
 from sprucenotch.cli.demo import demo
 from sprucenotch.cli.hunt import hunt
 from sprucenotch.cli.output import Exit, fail
+from sprucenotch.cli.pressure import pressure
 from sprucenotch.cli.service import service
 from sprucenotch.cli.status import status
 from sprucenotch.cli.transfers import transfers
@@ -28,6 +29,7 @@
 rig.app.command()(service)
 rig.app.command()(hunt)
 rig.app.command()(transfers)
+rig.app.command()(pressure)
 app.add_typer(rig.app, name="rig")
 app.add_typer(store.app, name="store")
 app.command()(status)
--- a/sprucenotch/testbed/pressure/client.py
+++ b/sprucenotch/testbed/pressure/client.py
@@ -56,7 +56,7 @@
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._connection_used = False
         self.statuses: Counter[int] = Counter()
-        self.unread_closes = 0  # requests whose connection was closed unread
+        self.unanswered: list[tuple[str, float]] = []  # ids whose connection ended without an answer; sent at
         self.times: list[float] = []  # seconds to the final answer
         self.findings: list[Finding] = []
 
@@ -85,10 +85,11 @@
                 self._close()
             kept = self._stream is not None
             if await self._exchange(head, cls, id, form):
+                # One that crossed the close of an idle connection has its answer now.
+                self.unanswered = [one for one in self.unanswered if one[0] != id]
                 return
             if not kept:
                 break
-        self.unread_closes += 1  # not lost: the client knows that it was not read
         self._close()
 
     async def _exchange(self, head: bytes, cls: RequestClass, id: str, form: AnswerForm) -> bool:
@@ -108,6 +109,7 @@
         except TimeoutError:
             raise _Broken("late", f"no answer {due + 5:.1f} s after the request") from None
         except (OSError, asyncio.IncompleteReadError):
+            self.unanswered.append((id, sent_at))
             return False
         status = int(first.split(" ")[1])
         self.statuses[status] += 1
--- a/sprucenotch/testbed/pressure/play.py
+++ b/sprucenotch/testbed/pressure/play.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import random
-import signal
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
-from pathlib import Path
 from typing import Any
 
 from msgspec import Struct
@@ -16,10 +14,11 @@
 from sprucenotch.testbed import site as sites
 from sprucenotch.testbed.discovery import Discovery, Entry
 from sprucenotch.testbed.pressure.client import Finding, SteadyClient
-from sprucenotch.testbed.pressure.peers import LEAVE_SLACK, Behaviour, Left, Peers
+from sprucenotch.testbed.pressure.lives import MAX_DEADLINE, Lives, Pressure
+from sprucenotch.testbed.pressure.peers import LEAVE_SLACK, Left, Peers
 from sprucenotch.testbed.pressure.request import AnswerForm, RequestWriter, request_classes
 from sprucenotch.testbed.pressure.server import PressureServer
-from sprucenotch.testbed.process import RunError, SidecarProcess, free_address
+from sprucenotch.testbed.process import RunError, free_address
 from sprucenotch.testbed.revision import Program
 from sprucenotch.testbed.sidecar import KILL_AFTER
 
@@ -30,26 +29,12 @@
 MEMORY_CHECK_INTERVAL = 0.05  # seconds
 
 
-class Pressure(Struct, frozen=True, kw_only=True):
-    """What a play does, and the limits of its sidecar."""
-
-    behaviour: Behaviour
-    number: int  # of misbehaving clients
-    seed: int
-    length: float = 6.0  # seconds
-    memory_mb: int = 192
-    descriptors: int = 1024
-    long_answers: bool = False  # the well-behaved clients ask for long answers from slow servers
-    site: Path = sites.SITES[0]
-    log_level: str = "info"
-
-
 class PressureResult(Struct, frozen=True, kw_only=True):
     """What was seen."""
 
     findings: list[Finding]
     statuses: dict[int, int]  # of the well-behaved clients' answers
-    unread_closes: int  # requests of theirs whose connection was closed unread
+    unanswered: int  # requests of theirs whose connection ended without an answer
     peak_memory: int  # bytes: the sidecar's resident memory at its highest
     times: list[float]  # seconds to the final answers of the well-behaved clients, sorted
     rounds: int  # connections of misbehaving clients
@@ -81,14 +66,6 @@
             self._delays.append((time.monotonic(), delay))
 
 
-def peak_memory(pid: int) -> int:
-    """The highest resident memory of a process so far, in bytes; 0 once it has ended."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) * 1024
-    return 0
-
-
 def draw_form(pressure: Pressure, rng: random.Random) -> AnswerForm:
     """Draw the answer that a well-behaved client asks for."""
     if not pressure.long_answers:
@@ -120,9 +97,8 @@
             "log": {"level": pressure.log_level},
             "limits": {"cores": 1.0, "memory_mb": pressure.memory_mb, "sockets": pressure.descriptors},
         }  # fmt: skip
-        with SidecarProcess(configuration, program.command, program.cwd) as sidecar:
-            await sidecar.ready()
-            return await _run(pressure, configuration, sidecar, servers)
+        async with Lives(configuration, program, pressure) as lives:
+            return await _run(pressure, configuration, lives, servers)
     finally:
         for server in servers:
             await server.stop()
@@ -134,7 +110,7 @@
 
 
 async def _run(
-    pressure: Pressure, configuration: dict[str, Any], sidecar: SidecarProcess, servers: list[PressureServer]
+    pressure: Pressure, configuration: dict[str, Any], lives: Lives, servers: list[PressureServer]
 ) -> PressureResult:
     lateness = _Lateness()
     settings, rng = configuration["settings"], random.Random(f"pressure {pressure.seed}")
@@ -147,18 +123,19 @@
     def now_late() -> float:
         return lateness.seconds
 
-    peers = Peers(sidecar.listen, writer("peer"), rng, now_late)
+    listen = str(configuration["listen"])
+    peers = Peers(listen, writer("peer"), rng, now_late)
     clients = [
-        SteadyClient(sidecar.listen, writer(f"steady{n}"), lambda: draw_form(pressure, rng), now_late)
+        SteadyClient(listen, writer(f"steady{n}"), lambda: draw_form(pressure, rng), now_late)
         for n in range(STEADY_CLIENTS)
     ]
     until = time.monotonic() + pressure.length
     watching = asyncio.create_task(lateness.watch())
-    peak = 0
     try:
         running = asyncio.gather(
             *(client.run(until) for client in clients),
             peers.run(pressure.behaviour, pressure.number, until),
+            lives.send_signals(rng),
         )
         give_up_at = until + END_TIMEOUT
         while not running.done():
@@ -166,22 +143,20 @@
                 running.cancel()
                 raise RunError("a client of the play did not end")
             await asyncio.wait((running,), timeout=MEMORY_CHECK_INTERVAL)
-            if sidecar.alive:
-                peak = max(peak, peak_memory(sidecar.pid))
+            lives.measure()
         await running
     finally:
         watching.cancel()
-    deadlines = max(cls.deadline for cls in classes)
     findings = [
         *(finding for client in clients for finding in client.findings), *peers.findings,
         *began_after_leaving(peers.left, servers, lateness.between), *ran_twice(peers.repeated, servers),
-        *_judge_process(pressure, sidecar, peak), *await _end(sidecar, min(3.0, deadlines)),
+        *lost(clients, servers, lives.stopped_at), *lives.findings, *await lives.end(),
     ]  # fmt: skip
     return PressureResult(
         findings=findings, statuses=dict(sum((c.statuses for c in clients), Counter[int]())),
-        unread_closes=sum(c.unread_closes for c in clients), peak_memory=peak, rounds=peers.rounds,
+        unanswered=sum(len(c.unanswered) for c in clients), peak_memory=lives.peak, rounds=peers.rounds,
         times=sorted(t for c in clients for t in c.times), late=lateness.seconds,
-        log=sidecar.log_file.read_text(errors="replace"),
+        log=lives.log(),
     )  # fmt: skip
 
 
@@ -208,19 +183,14 @@
             yield Finding("ran twice", id, f"servers began it {begun[id]} times")
 
 
-def _judge_process(pressure: Pressure, sidecar: SidecarProcess, peak: int) -> Iterator[Finding]:
-    if not sidecar.alive:
-        yield Finding("ended", "", sidecar.log_tail())
-    if peak > pressure.memory_mb * MEGABYTE:
-        yield Finding("memory", "", f"{peak / MEGABYTE:.1f} MB of {pressure.memory_mb}")
-
-
-async def _end(sidecar: SidecarProcess, longest_deadline: float) -> list[Finding]:
-    """Stop the sidecar: with no client left, it must end by itself before it would be killed."""
-    sidecar.signal(signal.SIGTERM)
-    try:
-        code = await sidecar.wait(longest_deadline + KILL_AFTER)
-    except TimeoutError:
-        sidecar.kill()
-        return [Finding("not ended", "", "it did not end before it would have been killed")]
-    return [] if code == 0 else [Finding("not ended", "", f"it ended with code {code}")]
+def lost(
+    clients: list[SteadyClient], servers: list[PressureServer], stopped_at: list[float]
+) -> Iterator[Finding]:
+    """Requests that a server began, and whose connection ended without an answer. One that was sent more
+    than KILL_AFTER after SIGTERM may be unanswered at the kill."""
+    begun = {begun.id for server in servers for begun in server.begun}
+    for client in clients:
+        for id, sent_at in client.unanswered:
+            late = any(0 <= sent_at - stop - KILL_AFTER < MAX_DEADLINE for stop in stopped_at)
+            if id in begun and not late:
+                yield Finding("lost", id, "a server began it, and its connection ended without an answer")
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -12,6 +12,8 @@
 
 from sprucenotch import api
 from sprucenotch.node import config
+from sprucenotch.node.abandoned import AbandonedRequests
+from sprucenotch.node.arrival import Arrival
 from sprucenotch.node.connection import Answer
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.frontend import ClientConnection
@@ -147,6 +149,21 @@
     "pauses_after_the_end": (pauses_after_the_end, "lost"),
 }
 
+
+def forgets_abandoned() -> None:
+    AbandonedRequests.may_run = lambda self, req_id, now: False  # type: ignore[method-assign]
+
+
+def counts_from_reading() -> None:
+    Arrival.unread_for = lambda self, now: 0.0  # type: ignore[method-assign]
+
+
+# Faults that misbehaving clients bring out: the behaviour, and the rule that is broken.
+UNDER_PRESSURE: dict[str, tuple[Callable[[], None], str, str]] = {
+    "forgets_abandoned": (forgets_abandoned, "repeaters", "ran twice"),
+    "counts_from_reading": (counts_from_reading, "uploads", "late"),
+}
+
 FAULTS: dict[str, tuple[Callable[[], None], str]] = {
     "answers_twice": (answers_twice, "answered twice"),
     "loses": (loses, "lost"),
@@ -158,6 +175,7 @@
 }
 
 if __name__ == "__main__":
-    plant = AT_STARTS.get(sys.argv[1]) or (FAULTS | IN_TRANSFERS)[sys.argv[1]][0]
+    pressed = {name: (plant, rule) for name, (plant, _, rule) in UNDER_PRESSURE.items()}
+    plant = AT_STARTS.get(sys.argv[1]) or (FAULTS | IN_TRANSFERS | pressed)[sys.argv[1]][0]
     plant()
     sys.exit(main())
