An id whose request failed is not run again if it may have run

A failure (502, 504) makes no such promise, and its client may leave unread: these ids are remembered now too.

Measured: the new test fails without the change (the server sees both).

--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -502,6 +502,7 @@
         if (request := self._mark_answered(action.id)) is not None:
             request.outcome_counts = self.telemetry.bad_gateway
             self._record_refusal(request, action.why)
+            self._remember_abandoned(request)  # its client may leave without having read the answer
             request.client.fail(request.last_outcome == Outcome.TIMEOUT)
             self._release(request)
 
--- a/sprucenotch/testbed/pressure/peers.py
+++ b/sprucenotch/testbed/pressure/peers.py
@@ -251,7 +251,10 @@
         head = self._requests.head(cls, id, form)
         send(streams[1], head)
         await asyncio.sleep(self._rng.uniform(0.01, 0.2))
+        answered = await self._read_now(streams[0])
         streams[1].transport.abort()
+        if answered.startswith(b"HTTP/1.1 503 "):
+            return  # refused: it may be sent again
         await asyncio.sleep(self._rng.choice((0.0, 0.02, 0.3, 1.0)))
         reader, writer = await asyncio.open_connection(*self._address)
         try:
@@ -262,6 +265,13 @@
         finally:
             writer.transport.abort()
 
+    async def _read_now(self, reader: asyncio.StreamReader) -> bytes:
+        """Return what has arrived."""
+        try:
+            return await asyncio.wait_for(reader.read(1000), 0.001)
+        except TimeoutError:
+            return b""
+
     async def _upload(self, streams: Streams) -> None:
         """Write a large request at once, and judge when its final answer comes."""
         reader, writer = streams
--- a/tests/test_abandoned.py
+++ b/tests/test_abandoned.py
@@ -56,6 +56,20 @@
     run(test())
 
 
+# Guards against: the same where the request has failed, and its client leaves without having read that.
+def test_id_that_comes_again_after_it_failed_is_not_sent_again_as_it_may_have_run() -> None:
+    async def test() -> None:
+        async def breaks(seen: Seen) -> bytes | None:
+            return None
+
+        async with endpoint(breaks) as served, sidecar(served.dial) as node:
+            for _ in range(2):
+                assert (await (await node.client()).ask(request("post")))[0] == 502
+            assert len(served.seen) == 1
+
+    run(test())
+
+
 def test_id_of_a_request_that_certainly_never_ran_may_come_again() -> None:
     decline = asyncio.Event()
 
