A body in tiny chunks does not keep other connections waiting

Cause: a read of 32 KiB of such a body is 5,400 callbacks of the parser, some 5 ms, and the loop does one read for each ready connection before the next turn. Ruled out: room for connections (the requests were on kept connections), servers (20 ms).

Change: after a read with over 128 pieces of a body, 4 KiB are read at a time, as between bodies.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -43,6 +43,7 @@
 
 log = logging.getLogger(__name__)
 
+MAX_BODY_PIECES = 128  # in a read of 32 KiB; with more, less is read at a time
 USUAL_HEAD_SIZE = 4096  # bytes; only what exceeds it is reserved in the budget
 HEAD_RESERVATION_STEP = 4096  # bytes of memory that an incomplete head reserves at a time
 MAX_PIPELINED_REQUESTS = 16  # per connection, counting the one being answered
@@ -100,6 +101,8 @@
         self._request_timeout = RequestTimeLimit()
         self._rules = frontend.rules  # with which the last head was checked
         self._unreported = 0  # bytes of input since the parser last reported anything
+        self._body_pieces = 0  # of a body, in the last read
+        self._in_small_pieces = False  # so that much of it would keep other connections waiting
         self._reset_request()
 
     @property
@@ -266,7 +269,8 @@
         self.frontend.host.finish_request(exchange.id)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return READ_BUFFER if self._head_received or self._discarding else HEAD_READ_BUFFER
+        in_body = self._head_received or self._discarding
+        return READ_BUFFER if in_body and not self._in_small_pieces else HEAD_READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._discarding:
@@ -275,12 +279,14 @@
         more = nbytes == len(self.get_buffer(-1)) and self._unread()
         self._arrival.read(nbytes, more, self.frontend.now())
         self._unreported += nbytes
+        self._body_pieces = 0
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
             self._check_incomplete_head()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadRequest):
             if not self._discarding:
                 self._reject(self._error or BadRequest(400, "malformed request"))
+        self._in_small_pieces = self._body_pieces > MAX_BODY_PIECES
         if self._exchange is not None:
             self._feed_upload(self._exchange)
         if self._reading and self._request_timer is None and not self._discarding:
@@ -694,6 +700,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._unreported = 0
+        self._body_pieces += 1
         self._body_size += len(body)
         if self._body_size > MAX_BODY_SIZE:
             self._fail_parsing(413, HTTPStatus(413).phrase)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -1014,3 +1014,15 @@
         assert gone() is None
     finally:
         gc.enable()
+
+
+# Guards against: a body of tiny chunks keeps all other connections waiting while it is parsed.
+def test_less_is_read_at_a_time_of_a_body_in_tiny_chunks() -> None:
+    peer = Peer()
+    peer.feed(post_head(CHUNKED))
+    assert len(peer.connection.get_buffer(-1)) == MAX_READ_SIZE
+    peer.feed(b"1\r\nx\r\n" * 500)
+    small = len(peer.connection.get_buffer(-1))
+    assert small <= MAX_READ_SIZE // 8
+    peer.feed(b"%x\r\n%s\r\n" % (small, b"x" * small))
+    assert len(peer.connection.get_buffer(-1)) == MAX_READ_SIZE
