A refused body without a length ends its connection

Cause: a request in chunks that is refused for lack of memory was parsed to its end, chunk by chunk of one byte, only to find the next request behind it: 60,000 callbacks a second and more.

Change: such a refusal says Connection: close; the rest of the input is discarded unparsed.

Measured: the new test fails without the change. Whole suite passed.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -657,6 +657,8 @@
         if not self.frontend.reserve(missing, self):
             self._release_reserved()
             self.frontend.host.count_memory_refusal(self._incoming)
+            if length is None:  # to find its end, all of its chunks would have to be parsed
+                exchange.closes_connection = True
             exchange.refuse(0)
             return
         self._reserved += missing
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -25,6 +25,7 @@
 from sprucenotch.testbed.syscalls import SHORT, Call, Rule
 from tests.failing_calls import mixed_load_failures, needs_compiler, sized_answer_sidecar
 from tests.sidecar import Client, Sidecar, always_ok, endpoint, request, run, sidecar
+from tests.test_stream import CHUNKED, Peer, post_head
 
 
 @contextlib.contextmanager
@@ -163,3 +164,13 @@
                 client.close()
 
     run(test())
+
+
+# Guards against: all of a refused body in tiny chunks is parsed, only to find where it ends.
+def test_refused_body_without_a_length_ends_its_connection() -> None:
+    peer = Peer()
+    peer.host.budget.max_bytes = 0
+    peer.host.count_memory_refusal = lambda incoming: None  # type: ignore[attr-defined]
+    peer.feed(post_head(CHUNKED) + b"1\r\nx\r\n" * 100)
+    assert peer.output.startswith(b"HTTP/1.1 503 ") and b"Connection: close\r\n" in peer.output
+    assert peer.connection._discarding and peer.connection.lingering
