A client's end counts as hidden only where the receive buffer has no room

Seen: test_unread_answers_keep_their_memory_... hung once beside a soak: of 400 requests sent at once some were refused, so that the answers no longer blocked the connection. Cause, by the condition: input had waited for 0.05 s on a slow machine; but where the kernel has room, the client's end would have come and been seen.

Change: an attempt is held back only if the receive buffer is not nearly empty (SocketTransport.holds_at_most). Pieces of a long answer count as written to the client too.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -253,11 +253,11 @@
         last answer was sent. Input of a body that is being read does not count: such a request is not sent
         whole before its end is seen.
         """
-        if self._exchange is not None and self._exchange.upload is not None:
+        if self._transport is None or (self._exchange is not None and self._exchange.upload is not None):
             return False
         now = self.frontend.now()
         unseen_for = min(self._arrival.unread_for(now), now - self._answered_at)
-        return unseen_for >= MAX_UNSEEN_END and self._unread()
+        return unseen_for >= MAX_UNSEEN_END and self._unread() and self._transport.holds_at_most() is None
 
     def _discard_answer(self, exchange: Exchange) -> None:
         """Give up an exchange whose answer cannot reach the client any more."""
@@ -472,6 +472,7 @@
         if self._transport is None or self._writing is None or self._writing.answer is None:
             return
         self._transport.write(chunk(piece) if self._chunked else piece)
+        self._answered_at = self.frontend.now()
         if self._write_blocked and self._writing.answer.body_stream is not None:
             self._writing.answer.body_stream.set_paused(True)
 
