Connections and heads stay within the least memory

Cause: 341 connections of some 5 kB each, 4 KiB of each head uncounted, and the budget of 1 MB add up to more than the 5.6 MB that the program leaves.

At 192 MB nothing changes.

Measured: the new test fails without the change (no such limit).

--- a/sprucenotch/node/config.py
+++ b/sprucenotch/node/config.py
@@ -20,6 +20,8 @@
 
 SECOND = 1_000_000_000
 DEFAULT_MAX_SOCKETS = 1024  # descriptors if the file sets no limit: the maximum given by the deployment
+MIN_SOCKETS = 256  # descriptors; every deployment provides at least this
+CLIENT_MEMORY = 8 * 1024  # bytes of a client connection, with a usual head
 MIN_MEMORY_MB = 32  # megabytes; every deployment provides at least this
 # Descriptors for the program's own use: standard streams (3), event loop (10) and its poller (1), listeners
 # and the peers' socket (3); calls to discovery: the watch, discovery.MAX_OVERDUE left open, two closing (7);
@@ -106,6 +108,12 @@
     def max_clients(self) -> int:
         return max(1, self.sockets // 3)
 
+    def max_clients_within_memory(self, own: int) -> int:
+        """Client connections for which a quarter of the memory beside the program itself (`own`, resident
+        bytes) has room; at least the third of the fewest descriptors that a deployment provides."""
+        share = (self.memory - own) // 4 // CLIENT_MEMORY
+        return min(self.max_clients, max(MIN_SOCKETS // 3, share))
+
     def max_body_bytes(self, own: int) -> int:
         """Bytes of memory for bodies: what the program itself (`own`) leaves of half the limit, less a
         quarter reserved for data kept with them, such as the ledger and request heads."""
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -26,6 +26,7 @@
 from sprucenotch.node.log import event
 from sprucenotch.node.request_time_limit import RequestTimeLimit
 from sprucenotch.node.rules import FORCED_CLOSES, CloseReason
+from sprucenotch.node.status import own_memory
 from sprucenotch.node.stream import (
     ANSWER_RESERVATION,
     HEAD_READ_BUFFER,
@@ -44,8 +45,8 @@
 log = logging.getLogger(__name__)
 
 MAX_BODY_PIECES = 128  # in a read of 32 KiB; with more, less is read at a time
-USUAL_HEAD_SIZE = 4096  # bytes; only what exceeds it is reserved in the budget
-HEAD_RESERVATION_STEP = 4096  # bytes of memory that an incomplete head reserves at a time
+USUAL_HEAD_SIZE = 1024  # bytes; only what exceeds it is reserved in the budget
+HEAD_RESERVATION_STEP = 1024  # bytes of memory that an incomplete head reserves at a time
 MAX_PIPELINED_REQUESTS = 16  # per connection, counting the one being answered
 UPLOAD_CHECK_INTERVAL = 0.1  # seconds between checks whether a body has waited too long to be read
 REQUEST_CHECK_INTERVAL = 0.25  # seconds between checks of an incomplete request
@@ -806,7 +807,7 @@
         self.draining = False
         self._drained = asyncio.Event()
         self._waiting_since: float | None = None  # since when new connections wait for others to end
-        self._max_connections = config.max_clients
+        self._max_connections = config.max_clients_within_memory(own_memory()[0])
         self._last_number = 0
         self._connections: dict[ClientConnection, None] = {}
         self.retune(config)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -254,3 +254,15 @@
             server.close()
 
     run(test())
+
+
+# Guards against: connections alone take a process with the least memory over its limit.
+def test_client_connections_are_limited_by_memory_too() -> None:
+    own, megabyte = 26_400_000, 1_000_000
+    least = config.parse(configuration(limits={"memory_mb": 32, "sockets": 1024}))
+    clients = least.max_clients_within_memory(own)
+    assert 85 <= clients < least.max_clients
+    assert own + clients * config.CLIENT_MEMORY + config.MIN_BODY_BYTES < 30 * megabyte
+    assert least.max_clients_within_memory(40 * megabyte) == 85  # the third of the fewest descriptors
+    usual = config.parse(configuration(limits={"memory_mb": 192, "sockets": 1024}))
+    assert usual.max_clients_within_memory(own) == usual.max_clients
