Testbed: one base of streaming servers, one measure of its own lateness

Need: transfers and pressure had the same server loop and the same measure twice.

Change: StreamServer in transfers/server.py, Lateness in testbed/lateness.py.

Measured: test_transfers and test_pressure pass.

--- a/sprucenotch/testbed/pressure/play.py
+++ b/sprucenotch/testbed/pressure/play.py
@@ -13,6 +13,7 @@
 
 from sprucenotch.testbed import site as sites
 from sprucenotch.testbed.discovery import Discovery, Entry
+from sprucenotch.testbed.lateness import Lateness
 from sprucenotch.testbed.pressure.client import Finding, SteadyClient
 from sprucenotch.testbed.pressure.lives import MAX_DEADLINE, Lives, Pressure
 from sprucenotch.testbed.pressure.peers import LEAVE_SLACK, Left, Peers
@@ -25,7 +26,6 @@
 SERVERS, STEADY_CLIENTS = 6, 12
 MEGABYTE = 1_000_000
 END_TIMEOUT = 15.0  # seconds after a play's end by which all its clients have ended
-LATENESS_CHECK_INTERVAL = 0.02  # seconds
 MEMORY_CHECK_INTERVAL = 0.05  # seconds
 
 
@@ -46,26 +46,6 @@
         return self.times[min(len(self.times) - 1, int(share * len(self.times)))] if self.times else 0.0
 
 
-class _Lateness:
-    """Adds up the time by which the event loop of the testbed is late."""
-
-    def __init__(self) -> None:
-        self.seconds = 0.0
-        self._delays: list[tuple[float, float]] = []  # when it was late, and by how many seconds
-
-    def between(self, begin: float, end: float) -> float:
-        """Seconds by which it was late between these times on the monotonic clock."""
-        return sum(delay for at, delay in self._delays if begin <= at <= end + LATENESS_CHECK_INTERVAL)
-
-    async def watch(self) -> None:
-        while True:
-            due = time.monotonic() + LATENESS_CHECK_INTERVAL
-            await asyncio.sleep(LATENESS_CHECK_INTERVAL)
-            delay = max(0.0, time.monotonic() - due)
-            self.seconds += delay
-            self._delays.append((time.monotonic(), delay))
-
-
 def draw_form(pressure: Pressure, rng: random.Random) -> AnswerForm:
     """Draw the answer that a well-behaved client asks for."""
     if not pressure.long_answers:
@@ -112,7 +92,7 @@
 async def _run(
     pressure: Pressure, configuration: dict[str, Any], lives: Lives, servers: list[PressureServer]
 ) -> PressureResult:
-    lateness = _Lateness()
+    lateness = Lateness()
     settings, rng = configuration["settings"], random.Random(f"pressure {pressure.seed}")
     classes = request_classes(settings)
     tenant = settings["Orgs"][0]["Name"] if settings["Orgs"] else ""
--- a/sprucenotch/testbed/pressure/server.py
+++ b/sprucenotch/testbed/pressure/server.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 import time
 from typing import NamedTuple
 
-from sprucenotch.testbed.http import HOST, response
+from sprucenotch.testbed.http import response
 from sprucenotch.testbed.pressure.request import AnswerForm, answer_body, answer_form
-from sprucenotch.testbed.transfers.server import read_chunk, read_head, write
+from sprucenotch.testbed.transfers.server import MAX_HEAD, StreamServer, read_chunk, read_head, write
 
-MAX_HEAD = 1 << 20  # bytes
 READ_SIZE = 8192  # bytes
 # A small buffer of the kernel and the segment size of an Ethernet link: a slow reader is one for the sidecar
 # too, for which loopback would otherwise hold megabytes.
@@ -26,45 +24,19 @@
     at: float  # on the monotonic clock, in seconds
 
 
-class PressureServer:
+class PressureServer(StreamServer):
     """One server of a play; it records the requests that it begins."""
 
+    options = (
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER),
+        (socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_SIZE),
+    )
+
     def __init__(self) -> None:
-        self._server: asyncio.Server | None = None
-        self._serving: set[asyncio.Task[None]] = set()
-        self.dial = ""
+        super().__init__()
         self.begun: list[Begun] = []
 
-    async def start(self) -> None:
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_SIZE)
-        listener.bind((HOST, 0))
-        self._server = await asyncio.start_server(self._serve, sock=listener, backlog=1024, limit=MAX_HEAD)
-        self.dial = f"{HOST}:{listener.getsockname()[1]}"
-
-    async def stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
-        for task in self._serving:
-            task.cancel()
-        await asyncio.gather(*self._serving, return_exceptions=True)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._serving.add(task)
-        try:
-            while True:
-                await self._serve_request(reader, writer)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass  # the sidecar has closed the connection, or the play is over
-        finally:
-            self._serving.discard(task)
-            with contextlib.suppress(OSError):
-                writer.close()
-
-    async def _serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         first, headers = await read_head(reader)
         if "req-id" not in headers:  # a probe
             await write(writer, response(200))
--- a/sprucenotch/testbed/transfers/play.py
+++ b/sprucenotch/testbed/transfers/play.py
@@ -13,6 +13,7 @@
 
 from sprucenotch.testbed import deployment
 from sprucenotch.testbed.discovery import Discovery, Entry
+from sprucenotch.testbed.lateness import Lateness
 from sprucenotch.testbed.plan import SECOND, Class, Fleet, Load, Plan
 from sprucenotch.testbed.process import SidecarProcess, free_address
 from sprucenotch.testbed.revision import Program
@@ -23,7 +24,6 @@
 SERVERS = 4
 ZONE = "north"
 MEMORY_MB = 96  # limit of the sidecar
-LATENESS_CHECK_INTERVAL = 0.02  # seconds
 # Aims are near the deadline: a server takes as long as its pauses, and is sound all the same.
 AIM = SECOND * 3 // 2
 CLASSES = (
@@ -47,19 +47,6 @@
         return self.statuses.get(200, 0)
 
 
-class _Lateness:
-    """Adds up the time by which the event loop of the testbed is late."""
-
-    def __init__(self) -> None:
-        self.seconds = 0.0
-
-    async def watch(self) -> None:
-        while True:
-            due = time.monotonic() + LATENESS_CHECK_INTERVAL
-            await asyncio.sleep(LATENESS_CHECK_INTERVAL)
-            self.seconds += time.monotonic() - due
-
-
 async def play(seed: int, length: float, clients: int, program: Program | None = None) -> TransferResult:
     """Play for `length` seconds with so many clients. Raises ProcessError if the sidecar does not come up."""
     program = program or Program()
@@ -97,7 +84,7 @@
 
 
 async def _run_clients(seed: int, length: float, number: int, dial: str) -> TransferResult:
-    lateness = _Lateness()
+    lateness = Lateness()
     watching = asyncio.create_task(lateness.watch())
     clients = [TransferClient(n, seed, dial, lambda: lateness.seconds) for n in range(number)]
     until = time.monotonic() + length
--- a/sprucenotch/testbed/transfers/server.py
+++ b/sprucenotch/testbed/transfers/server.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import contextlib
+import socket
+from abc import ABC, abstractmethod
 
-from sprucenotch.testbed.http import HOST, response
+from sprucenotch.testbed.http import BACKLOG, HOST, response
 from sprucenotch.testbed.transfers.transfer import MAX_PIECE_PAUSE, PIECE_SIZES, Transfer, draw
 
+MAX_HEAD = 1 << 20  # bytes
+
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """Read the first line and the headers, with names in lower case."""
@@ -38,19 +42,26 @@
             await asyncio.sleep(self._rng.random() * MAX_PIECE_PAUSE)
 
 
-class TransferServer:
-    """One server of a play. `wrong_uploads` has the ids of requests whose body was changed on the way."""
+class StreamServer(ABC):
+    """A server on a loopback port; subclasses serve one request after another of each connection.
 
-    def __init__(self, seed: int) -> None:
-        self._seed = seed
+    `options` are set on the listening socket, and its connections inherit them: level, name and value.
+    """
+
+    options: tuple[tuple[int, int, int], ...] = ()
+
+    def __init__(self) -> None:
         self._server: asyncio.Server | None = None
         self._serving: set[asyncio.Task[None]] = set()
         self.dial = ""
-        self.wrong_uploads: list[str] = []
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.dial = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+        listener = socket.socket()
+        for level, name, value in self.options:
+            listener.setsockopt(level, name, value)
+        listener.bind((HOST, 0))
+        self._server = await asyncio.start_server(self._serve, sock=listener, backlog=BACKLOG, limit=MAX_HEAD)
+        self.dial = f"{HOST}:{listener.getsockname()[1]}"
 
     async def stop(self) -> None:
         if self._server is not None:
@@ -65,15 +76,28 @@
         self._serving.add(task)
         try:
             while True:
-                await self._serve_request(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                await self.serve_request(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the sidecar has closed the connection, or the play is over
         finally:
             self._serving.discard(task)
-            with contextlib.suppress(ConnectionError):
+            with contextlib.suppress(OSError):
                 writer.close()
 
-    async def _serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    @abstractmethod
+    async def serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve the next request. Raises OSError or IncompleteReadError to end the connection."""
+
+
+class TransferServer(StreamServer):
+    """One server of a play. `wrong_uploads` has the ids of requests whose body was changed on the way."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__()
+        self._seed = seed
+        self.wrong_uploads: list[str] = []
+
+    async def serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         _, headers = await read_head(reader)
         if "req-id" not in headers:  # a probe
             await write(writer, response(200))
