An ordinary request pays little for the bounds on peers

Change: the timer that streams an answer is set only once the head of an answer of unknown length has come; reads are noted only while input may have waited; the ids of abandoned requests are looked up only if there are any; short heads are not released apart.

--- a/sprucenotch/node/arrival.py
+++ b/sprucenotch/node/arrival.py
@@ -28,6 +28,11 @@
         self._marks: deque[tuple[float, int]] = deque()
         self._all_read_at: float | None = None  # when the kernel's buffer was last found empty
 
+    @property
+    def behind(self) -> bool:
+        """Whether input may have waited for a read. While it has not, reads need not be noted."""
+        return bool(self._marks)
+
     def read(self, size: int, more: bool, now: float) -> None:
         """Note a read of that many bytes; `more`: the kernel holds further input."""
         self._forget_if_caught_up(now)
--- a/sprucenotch/node/connection.py
+++ b/sprucenotch/node/connection.py
@@ -252,8 +252,13 @@
         its length is unknown: also if only its head has arrived by then."""
         self._stream_from = at
         self._cancel_stream_timer()
-        if at != NEVER:
-            delay = max(0.0, (at - time.monotonic_ns()) / SECOND)
+        self._await_stream_time()
+
+    def _await_stream_time(self) -> None:
+        """Schedule the start of streaming, if an answer of unknown length has begun to arrive."""
+        begun = self._length_unknown and self._answer_stream is None
+        if begun and self._stream_timer is None and self._stream_from != NEVER:
+            delay = max(0.0, (self._stream_from - time.monotonic_ns()) / SECOND)
             self._stream_timer = asyncio.get_running_loop().call_later(delay, self._stream_begun_answer)
 
     def _cancel_stream_timer(self) -> None:
@@ -300,6 +305,7 @@
         if self._length_unknown and self._answer_stream is None and time.monotonic_ns() >= self._stream_from:
             self._start_streaming(None)
         self._pass_on_streamed()
+        self._await_stream_time()
 
     def _feed_stream(self, stream: Stream) -> None:
         if self._body:
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -254,7 +254,9 @@
         last answer was sent. Input of a body that is being read does not count: such a request is not sent
         whole before its end is seen.
         """
-        if self._transport is None or (self._exchange is not None and self._exchange.upload is not None):
+        if self._transport is None or not self._arrival.behind:
+            return False
+        if self._exchange is not None and self._exchange.upload is not None:
             return False
         now = self.frontend.now()
         unseen_for = min(self._arrival.unread_for(now), now - self._answered_at)
@@ -277,13 +279,15 @@
         if self._discarding:
             return
         self._request_timeout.byte_received()
-        more = nbytes == len(self.get_buffer(-1)) and self._unread()
-        self._arrival.read(nbytes, more, self.frontend.now())
+        more = nbytes >= len(HEAD_READ_BUFFER) and nbytes == len(self.get_buffer(-1)) and self._unread()
+        if more or self._arrival.behind:
+            self._arrival.read(nbytes, more, self.frontend.now())
         self._unreported += nbytes
         self._body_pieces = 0
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
-            self._check_incomplete_head()
+            if self._reading or self._unreported:
+                self._check_incomplete_head()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadRequest):
             if not self._discarding:
                 self._reject(self._error or BadRequest(400, "malformed request"))
@@ -649,7 +653,8 @@
             self._release_reserved()
             self._answer_error(exchange, error)
             return
-        self._head.lines = bytearray()  # the request has a copy
+        if len(self._head.lines) > USUAL_HEAD_SIZE:
+            self._head.lines = bytearray()  # the request has a copy
         long = length is not None and length > MAX_BUFFERED_BODY_SIZE
         body_size = (
             MAX_READ_SIZE if long else MAX_BUFFERED_BODY_SIZE + MAX_READ_SIZE if length is None else length
@@ -745,8 +750,9 @@
 
     def _complete_request(self, exchange: Exchange | None, incoming: Incoming | None) -> None:
         """Pass on a request that is complete, or the last part of its body."""
-        self._schedule_upload_check(False)
-        if exchange is not None:
+        if self._upload_timer is not None:
+            self._schedule_upload_check(False)
+        if exchange is not None and self._arrival.behind:
             exchange.unread_for = self._arrival.unread_for(self.frontend.now())
         if self._discarding or exchange is None or exchange.answer is not None:
             self._release_reserved()
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -241,7 +241,7 @@
         earlier = self._open_by_req_id.get(req_id)
         if earlier is not None and not earlier.answered:
             earlier.client.connected()  # calls `client_gone` if its client has left
-        return self._abandoned.may_run(req_id, self.now())
+        return len(self._abandoned) > 0 and self._abandoned.may_run(req_id, self.now())
 
     def _turn_down_repeated(self, request: OpenRequest) -> None:
         """Answer a request whose id may run already: refused where that does no harm, else failed."""
