Testbed: two names that nothing uses any more

Need: left behind in the plays of pressure when the measure of memory moved to lives.py.

Change: SteadyClient._connection_used and MEGABYTE of play.py are gone. No behaviour changes.

--- a/sprucenotch/testbed/pressure/client.py
+++ b/sprucenotch/testbed/pressure/client.py
@@ -54,7 +54,6 @@
         self._address, self._requests, self._draw_form = address(dial), requests, draw_form
         self._lateness, self._pause = lateness, pause
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-        self._connection_used = False
         self.statuses: Counter[int] = Counter()
         self.unanswered: list[tuple[str, float]] = []  # ids whose connection ended without an answer; sent at
         self.times: list[float] = []  # seconds to the final answer
--- a/sprucenotch/testbed/pressure/play.py
+++ b/sprucenotch/testbed/pressure/play.py
@@ -24,7 +24,6 @@
 from sprucenotch.testbed.sidecar import KILL_AFTER
 
 SERVERS, STEADY_CLIENTS = 6, 12
-MEGABYTE = 1_000_000
 END_TIMEOUT = 15.0  # seconds after a play's end by which all its clients have ended
 MEMORY_CHECK_INTERVAL = 0.05  # seconds
 
