Test of unread answers: kernel buffers smaller than one read's answers

Reads of heads are small now, and a pipeline of 16 is read on when 15 are left; where the client's side blocks just then, 15 requests are held and no more are read, so the wait for 16 never ends.

Change: the buffers of both sockets are set to the size of one answer, so that a few answers block the connection, fewer than the requests of its first read.

--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -541,6 +541,14 @@
     async def test() -> None:
         async with endpoint(lambda seen: _max_buffered_answer()) as served, sidecar(served.dial) as node:
             client = await node.client()
+            # The kernel takes a few answers, not as many as one read holds requests.
+            own = client.writer.get_extra_info("socket")
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_BUFFERED_BODY_SIZE)
+            while not node.frontend._connections:
+                await asyncio.sleep(0.01)
+            for accepted in node.frontend._connections:
+                peer = accepted._transport.get_extra_info("socket")  # type: ignore[union-attr]
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MAX_BUFFERED_BODY_SIZE)
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             for _ in range(400):  # far more than the kernel buffers
                 client.writer.write(request())
