Test of a hidden end: a fed clock on which the bound is met exactly

Cause: the test took the machine's clock as "now" and now - 0.05 as the time of the pause; the difference of the two rounds to just under 0.05 for some times since the boot, and the request is then sent, rightly.

Change: now is 0.05 and the pause is at 0. The bound is met exactly, as meant.

Measured: passes; with the bound's comparison made strict it fails.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -364,10 +364,10 @@
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             client = await node.client()
             taken = await taken_connection(node)
-            now = node.frontend.now()
+            now = MAX_UNSEEN_END  # no rounding in the differences from 0
             monkeypatch.setattr(node.frontend, "now", lambda: now)
             monkeypatch.setattr(taken, "_unread", lambda: True)  # further input waits
-            taken._arrival.paused(now - MAX_UNSEEN_END)
+            taken._arrival.paused(0.0)
             monkeypatch.setattr(taken._transport, "holds_at_most", lambda: 100 if room else None)
             taken._answered_at = now if answered_lately else 0.0
             assert (await client.ask(request()))[0] == (200 if sent else 503)
