An id runs once, also after its answer and at the other process of an upgrade

Cause: of the requests that a server may run only those were remembered whose client was seen to leave, or that failed, and only by the process that had sent them. Clients saw an id run twice when it came again after they had left with the answer unread, or at the other process of an upgrade.

Change: every id is remembered when its request enters the ledger, and forgotten where no server can have run it (`node/begun.py`, in place of `abandoned.py`). The table by open request that asked for the same is gone. Ids of ended loads of the benchmark came again: they are new now.

Tests: test_begun.py. The test with two real processes fails without the change; the others need its new parameters and fail for that. Tests that sent one id for several requests send new ones, as the protocol says.

--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -14,6 +14,7 @@
 import argparse
 import asyncio
 import compileall
+import itertools
 import os
 import statistics
 import subprocess
@@ -35,6 +36,9 @@
 STARTS = 9  # of each version, to measure the cost of a start
 
 
+load_numbers = itertools.count()
+
+
 class Version:
     """A revision of the sidecar with its measurements."""
 
@@ -58,7 +62,7 @@
             raise SystemExit(f"a request ended with {ended.status}: the figures would mean nothing")
         latencies.append(ended.took * 1000)
 
-    clients = Clients(dial, report)
+    clients = Clients(dial, report, name=f"load-{next(load_numbers)}")  # ids are new in each load
     asks = [ClientCall(kind(cls)) for cls in CLASSES]
 
     async def connection() -> None:
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import logging
+import mmap
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -17,8 +18,8 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.node.abandoned import AbandonedRequests
 from sprucenotch.node.attempt import Attempt
+from sprucenotch.node.begun import TABLE_SIZE, BegunRequests
 from sprucenotch.node.config import SECOND, Config, HostList
 from sprucenotch.node.connection import Answer
 from sprucenotch.node.ledger import Client, Incoming, OpenRequest
@@ -52,7 +53,13 @@
 class Host:
     """Connects the balancer to client connections, servers, discovery, peers, timers and telemetry."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        begun_memory: mmap.mmap | None = None,  # shared with the other process of an upgrade
+    ) -> None:
         self._settings = config.settings
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
@@ -63,8 +70,7 @@
         self.status_report = StatusReport(self._balancer, self.telemetry, self.upstream, clock.now)
         self._access = AccessLog(config.log.access_per_s)
         self._open: dict[int, OpenRequest] = {}
-        self._open_by_req_id: dict[bytes, OpenRequest] = {}  # the latest of each id
-        self._abandoned = AbandonedRequests()
+        self._begun = BegunRequests(begun_memory or mmap.mmap(-1, TABLE_SIZE))
         self._last_id = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -105,8 +111,8 @@
     def _set_classes(self) -> None:
         self._class_numbers = {c.name: number for number, c in enumerate(self._settings.classes)}
         self.telemetry.register_classes(self._settings.classes)
-        # Time in which an abandoned request may still run, or its repeats are dropped by servers.
-        self._abandoned_for = max(max(cls.limit, cls.window) for cls in self._settings.classes)
+        # Time in which a request that was sent may still run, or its repeats are dropped by servers.
+        self._begun_for = max(cls.limit + cls.window for cls in self._settings.classes)
 
     def retune(self, config: Config) -> None:
         """Apply changed settings to requests that arrive from now on."""
@@ -218,10 +224,11 @@
         client.id = rid
         if upload is None:
             self._request_received(request)
-        if self._may_run_already(request):
+        request.claimed = self._begun.claim(request.table_key, now, now + self._begun_for)
+        if not request.claimed and not self._claim_if_left(request, now):
             self._turn_down_repeated(request)
             return
-        self._open_by_req_id[incoming.req_id] = request
+        request.claimed = True
         self.post(
             api.Request(
                 rid,
@@ -235,13 +242,13 @@
             )
         )
 
-    def _may_run_already(self, request: OpenRequest) -> bool:
-        """Whether the same id may run for a client that has left."""
-        req_id = request.incoming.req_id
-        earlier = self._open_by_req_id.get(req_id)
-        if earlier is not None and not earlier.answered:
-            earlier.client.connected()  # calls `client_gone` if its client has left
-        return len(self._abandoned) > 0 and self._abandoned.may_run(req_id, self.now())
+    def _claim_if_left(self, request: OpenRequest, now: int) -> bool:
+        """Remember the id of a request that is open already, if the client of that one has left and no server
+        can have run it."""
+        for earlier in list(self._open.values()):
+            if earlier.claimed and not earlier.answered and earlier.table_key == request.table_key:
+                earlier.client.connected()  # calls `client_gone` if its client has left
+        return self._begun.claim(request.table_key, now, now + self._begun_for)
 
     def _turn_down_repeated(self, request: OpenRequest) -> None:
         """Answer a request whose id may run already: refused where that does no harm, else failed."""
@@ -250,12 +257,25 @@
         else:
             self._fail(api.Fail(request.id, api.Reason.MAY_HAVE_RUN))
 
-    def _remember_abandoned(self, request: OpenRequest) -> None:
-        """Remember the id of a request whose client has left, if a server may run it."""
+    def _hold_claim(self, request: OpenRequest) -> None:
+        """Remember for the whole time from now that a server may run a request."""
+        if request.claimed:
+            now = self.now()
+            self._begun.hold(request.table_key, now, now + self._begun_for)
+
+    def _settle_claim(self, request: OpenRequest) -> None:
+        """Hold the id of a request that is not answered if a server may run it, else release it."""
         out = request.attempt is not None and request.attempt.fully_sent
         if request.may_have_run or out:
-            now = self.now()
-            self._abandoned.add(request.incoming.req_id, now, now + self._abandoned_for)
+            self._hold_claim(request)
+        else:
+            self._release_claim(request)
+
+    def _release_claim(self, request: OpenRequest) -> None:
+        """Forget the id of a request that no server has run: it may be sent again."""
+        if request.claimed:
+            request.claimed = False
+            self._begun.release(request.table_key)
 
     def _request_received(self, request: OpenRequest) -> None:
         """Note that the last byte of a request has arrived, and start its deadline timer."""
@@ -290,7 +310,7 @@
         can use it (`OpenRequest.may_send`); one that is partly sent ends at once, so that the server never
         runs it."""
         if (request := self._mark_answered(rid)) is not None:
-            self._remember_abandoned(request)
+            self._settle_claim(request)
             self.finish_request(rid)
             self.post(api.Gone(rid))
             if request.attempt is not None and request.attempt.partially_sent:
@@ -365,13 +385,13 @@
         request.reserved = reserved
         if active:
             return
+        if not request.may_have_run:
+            self._release_claim(request)
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
             request.deadline_timer = None
         if request.finished:
             self._open.pop(request.id, None)
-            if self._open_by_req_id.get(request.incoming.req_id) is request:
-                del self._open_by_req_id[request.incoming.req_id]
 
     def _mark_answered(self, rid: int) -> OpenRequest | None:
         """Mark a request as answered and return it; None if it already was. The caller sends the answer."""
@@ -449,6 +469,8 @@
     def _last_byte_sent(self, request: OpenRequest) -> None:
         """Count an attempt whose last byte has been sent."""
         self.telemetry.upstream_tries += 1
+        if request.upload is not None:  # sending it may have taken long
+            self._hold_claim(request)
         if log.isEnabledFor(logging.DEBUG):
             tell(
                 log, logging.DEBUG, "sent", request=request.id, req_id=request.req_id,
@@ -463,8 +485,6 @@
     def _completed(self, request: OpenRequest, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last_outcome = None, outcome
         request.may_have_run = request.may_have_run or may_have_run(outcome)
-        if request.answered and not request.may_have_run:  # it was never run for the client that left
-            self._abandoned.remove(request.incoming.req_id)
         self.count(OUTCOMES[outcome])
         if request.attempt_timer is not None:
             request.attempt_timer.cancel()
@@ -502,7 +522,7 @@
         if (request := self._mark_answered(action.id)) is not None:
             request.outcome_counts = self.telemetry.bad_gateway
             self._record_refusal(request, action.why)
-            self._remember_abandoned(request)  # its client may leave without having read the answer
+            self._settle_claim(request)  # its client may leave without having read the answer
             request.client.fail(request.last_outcome == Outcome.TIMEOUT)
             self._release(request)
 
--- a/sprucenotch/node/ledger.py
+++ b/sprucenotch/node/ledger.py
@@ -9,6 +9,7 @@
 
 from sprucenotch import api
 from sprucenotch.node.attempt import Attempt
+from sprucenotch.node.begun import key_of
 from sprucenotch.node.config import SECOND
 from sprucenotch.node.connection import Answer
 from sprucenotch.node.pool import Pool
@@ -49,10 +50,36 @@
     """A request in the ledger: its answer is not fully sent yet, or an attempt is still under way."""
 
     __slots__ = (
-        "_on_sent", "answered", "attempt", "attempt_deadline", "attempt_timer", "attempts", "client",
-        "deadline_timer", "effect", "endpoint", "expires_at", "finished", "id", "incoming", "last_outcome",
-        "max_attempts", "may_have_run", "outcome_counts", "outgoing_size", "received", "received_at",
-        "reservation", "reserved", "retry_before", "sent_at", "sent_deadline", "timeout", "upload",
+        "_on_sent",
+        "answered",
+        "attempt",
+        "attempt_deadline",
+        "attempt_timer",
+        "attempts",
+        "claimed",
+        "client",
+        "deadline_timer",
+        "effect",
+        "endpoint",
+        "expires_at",
+        "finished",
+        "id",
+        "incoming",
+        "last_outcome",
+        "max_attempts",
+        "may_have_run",
+        "outcome_counts",
+        "outgoing_size",
+        "received",
+        "received_at",
+        "reservation",
+        "reserved",
+        "retry_before",
+        "sent_at",
+        "sent_deadline",
+        "table_key",
+        "timeout",
+        "upload",
         "uploading",
     )  # fmt: skip
 
@@ -70,6 +97,8 @@
     ) -> None:
         self.effect = effect  # of its class when it arrived
         self._on_sent = on_sent
+        self.table_key = key_of(incoming.req_id)
+        self.claimed = False  # its id is remembered: it is open, or a server may have run it
         self.may_have_run = False
         self.sent_deadline = 0  # nanoseconds, as sent to the server with the last attempt
         self.id, self.client, self.incoming, self.expires_at = rid, client, incoming, expires_at
--- a/sprucenotch/node/serve.py
+++ b/sprucenotch/node/serve.py
@@ -18,6 +18,7 @@
 from msgspec import structs
 
 from sprucenotch.node.acceptor import Acceptor
+from sprucenotch.node.begun import TABLE_SIZE
 from sprucenotch.node.config import Config, ConfigError, ConfigUnreadable, load
 from sprucenotch.node.discovery import Discovery
 from sprucenotch.node.frontend import ClientConnection, Frontend
@@ -28,6 +29,7 @@
 from sprucenotch.node.peers import Peers
 from sprucenotch.node.poller import running_poller
 from sprucenotch.node.reload import LOAD_TIMEOUT, Reload
+from sprucenotch.node.shared_memory import shared_memory
 from sprucenotch.platform import clock
 from sprucenotch.platform.system_errors import is_exhaustion, retry_delays
 
@@ -44,7 +46,7 @@
     event(log, logging.INFO, "starting", name=config.name, servers=len(config.known.hosts))
     wrong_clock = config.clock
     time = clock.skewed_clock(wrong_clock.offset_ns, wrong_clock.drift_ppm) if wrong_clock else clock.Clock()
-    host = Host(config, loop, time)
+    host = Host(config, loop, time, shared_memory(os.environ, config.name, TABLE_SIZE))
     frontend = Frontend(config, host, loop)
     host.upstream.free_descriptor = frontend.free_descriptor
     recovery = None
--- a/sprucenotch/testbed/process.py
+++ b/sprucenotch/testbed/process.py
@@ -195,7 +195,7 @@
 
 class SidecarProcess(ChildProcess):
     """Runs `command` in `cwd`, with PROXY_CONFIG naming a configuration file that is written first. Use it as
-    a context manager. Without a `folder` it uses a temporary one."""
+    a context manager. Without a `folder` it uses a temporary one; it is the process's $TMPDIR too."""
 
     def __init__(
         self,
@@ -212,11 +212,9 @@
         self.listen, self.mgmt = str(configuration["listen"]), str(configuration["mgmt"])
         self.configure(configuration)
         environment = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+        environment |= {"TMPDIR": str(directory), "PROXY_CONFIG": str(self.file)}
         with self.log_file.open("wb") as log:
-            super().__init__(
-                command, {**environment, "PROXY_CONFIG": str(self.file), **(variables or {})}, cwd,
-                stdout=log, stderr=log,
-            )  # fmt: skip
+            super().__init__(command, {**environment, **(variables or {})}, cwd, stdout=log, stderr=log)
 
     def configure(self, configuration: Mapping[str, Any]) -> None:
         self.file.write_bytes(msgspec.json.encode(configuration))
