Testbed: upgrades in the plays of peers that press on a sidecar

Need: an id that comes again at the other process of an upgrade, and long bodies over one, were not played; restarts only.

Change: `Lives` starts the next process beside the old one, in the same folder, and stops the old one when it is ready; memory is that of both. A play without stops at the usual limits gets two upgrades by the draw; draws of other plays are as before.

--- a/sprucenotch/cli/pressure.py
+++ b/sprucenotch/cli/pressure.py
@@ -62,7 +62,8 @@
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
     lines = [
         f"seed {drawn.seed}: {drawn.number} {drawn.behaviour}, {drawn.site.stem}, {drawn.memory_mb} MB, "
-        f"{drawn.descriptors} descriptors, {drawn.stops} stops, {drawn.reloads} reloads; answers {statuses}; "
+        f"{drawn.descriptors} descriptors, {drawn.stops} stops, {drawn.upgrades} upgrades, "
+        f"{drawn.reloads} reloads; answers {statuses}; "
         f"{result.unanswered} unanswered; p99 {result.quantile(0.99):.2f} s; "
         f"peak {result.peak_memory / 1e6:.1f} MB; testbed late {result.late:.2f} s; "
         f"{len(result.findings)} findings"
--- a/sprucenotch/testbed/pressure/draw.py
+++ b/sprucenotch/testbed/pressure/draw.py
@@ -25,9 +25,12 @@
     behaviours = list(Behaviour)
     behaviour = behaviours[seed % len(behaviours)]
     memory_mb, descriptors = LIMITS[seed // 2 % len(LIMITS)]
+    long_answers = memory_mb > LEAST_LIMITS[0] and rng.random() < 0.3
+    stops = 2 if rng.random() < 0.5 else 0
+    # Two processes at a time have room at the usual limits only.
+    upgrades = 0 if stops or memory_mb < USUAL_LIMITS[0] else 2
     return Pressure(
         behaviour=behaviour, number=FEW.get(behaviour, CROWD), seed=seed, length=length,
         memory_mb=memory_mb, descriptors=descriptors, site=sites[seed % len(sites)],
-        long_answers=memory_mb > LEAST_LIMITS[0] and rng.random() < 0.3,
-        stops=2 if rng.random() < 0.5 else 0, reloads=rng.choice((0, 2, 5)),
+        long_answers=long_answers, stops=stops, upgrades=upgrades, reloads=rng.choice((0, 2, 5)),
     )  # fmt: skip
--- a/sprucenotch/testbed/pressure/lives.py
+++ b/sprucenotch/testbed/pressure/lives.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import tempfile
 import time
 from pathlib import Path
 from types import TracebackType
@@ -16,7 +17,7 @@
 from sprucenotch.testbed.pressure.client import Finding
 from sprucenotch.testbed.pressure.peers import Behaviour
 from sprucenotch.testbed.pressure.request import request_classes
-from sprucenotch.testbed.process import ProcessError, SidecarProcess
+from sprucenotch.testbed.process import ProcessError, SidecarProcess, free_address
 from sprucenotch.testbed.revision import Program
 from sprucenotch.testbed.sidecar import KILL_AFTER
 
@@ -38,6 +39,7 @@
     site: Path = sites.SITES[0]
     log_level: str = "info"
     stops: int = 0  # SIGTERM so often, SIGKILL as early as the pages allow, and a start
+    upgrades: int = 0  # so often another process is started, and then the first one is stopped
     reloads: int = 0  # SIGHUP so often
 
 
@@ -58,26 +60,38 @@
         deadlines = [cls.deadline for cls in request_classes(configuration["settings"])]
         self._kill_timeout = min(MAX_DEADLINE, max(deadlines)) + KILL_AFTER
         self._stopping = False
-        self._ended: list[str] = []  # logs of earlier processes
+        self._folders: list[tempfile.TemporaryDirectory[str]] = []  # the last one is that of the process
+        self._processes: list[SidecarProcess] = []  # all that were started
         self.peak = 0
         self.findings: list[Finding] = []
         self.stopped_at: list[float] = []
 
     async def __aenter__(self) -> Lives:
-        await self._start()
+        self._new_folder()
+        self._process = await self._start(self._configuration)
         return self
 
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
-        self._process.end()
-
-    async def _start(self) -> None:
-        self._process = SidecarProcess(self._configuration, self._program.command, self._program.cwd)
-        await self._process.ready()
+        for process in self._processes:
+            process.end()
+        for folder in self._folders:
+            folder.cleanup()
+
+    def _new_folder(self) -> None:
+        self._folders.append(tempfile.TemporaryDirectory(prefix="sidecar-"))
+
+    async def _start(self, configuration: dict[str, Any]) -> SidecarProcess:
+        """Start a process in the last folder, and wait until it is ready."""
+        folder, label = Path(self._folders[-1].name), f"process-{len(self._processes)}"
+        process = SidecarProcess(configuration, self._program.command, self._program.cwd, folder, label)
+        self._processes.append(process)
+        await process.ready()
+        return process
 
     def measure(self) -> None:
-        """Note the memory of the process, and whether it has ended by itself."""
+        """Note the memory of the processes, and whether the one that serves has ended by itself."""
         if self._stopping:
             return
         if not self._process.alive:
@@ -85,39 +99,56 @@
             self._stopping = True
             return
         limit = self._pressure.memory_mb * MEGABYTE
-        before, self.peak = self.peak, max(self.peak, peak_memory(self._process.pid))
+        peaks = sum(peak_memory(process.pid) for process in self._processes if process.alive)
+        before, self.peak = self.peak, max(self.peak, peaks)
         if before <= limit < self.peak:
             said = f"over {self._pressure.memory_mb} MB"
             self.findings.append(Finding("memory", "", said))
 
     async def send_signals(self, rng: random.Random) -> None:
-        """Send the signals of the play: reloads in a row, then stops, each followed by a start."""
+        """Send the signals of the play: reloads in a row, then restarts, then upgrades."""
         await asyncio.sleep(FIRST_SIGNAL)
         for _ in range(self._pressure.reloads):
             self._process.signal(signal.SIGHUP)
             await asyncio.sleep(rng.random() * 0.2)
         for _ in range(self._pressure.stops):
-            await self._replace()
+            await self._restart()
+            await asyncio.sleep(rng.random())
+        for _ in range(self._pressure.upgrades):
+            await self._upgrade()
             await asyncio.sleep(rng.random())
 
-    async def _replace(self) -> None:
+    async def _restart(self) -> None:
         """Stop the process as a planned restart does, and start another one at its address."""
         self._stopping = True
-        self.stopped_at.append(time.monotonic())
-        self._process.signal(signal.SIGTERM)
+        await self._stop(self._process)
+        self._new_folder()
         try:
-            await self._process.wait(self._kill_timeout)
-        except TimeoutError:
-            self._process.kill()
-        self._ended.append(self._read_log())
-        self._process.end()
-        try:
-            await self._start()
+            self._process = await self._start(self._configuration)
         except ProcessError as problem:
             self.findings.append(Finding("not started", "", str(problem)))
             return
         self._stopping = False
 
+    async def _upgrade(self) -> None:
+        """Start another process beside the one that serves, and stop that once the new one is ready."""
+        old = self._process
+        try:
+            self._process = await self._start({**self._configuration, "mgmt": free_address()})
+        except ProcessError as problem:
+            self.findings.append(Finding("not started", "", str(problem)))
+            return
+        await self._stop(old)
+
+    async def _stop(self, process: SidecarProcess) -> None:
+        """Send SIGTERM, and SIGKILL as early as the pages allow."""
+        self.stopped_at.append(time.monotonic())
+        process.signal(signal.SIGTERM)
+        try:
+            await process.wait(self._kill_timeout)
+        except TimeoutError:
+            process.kill()
+
     async def end(self) -> list[Finding]:
         """Stop the last process: with no client left, it must end by itself before it would be killed."""
         if self._stopping:
@@ -130,9 +161,6 @@
             return [Finding("not ended", "", "it did not end before it would have been killed")]
         return [] if code == 0 else [Finding("not ended", "", f"it ended with code {code}")]
 
-    def _read_log(self) -> str:
-        return self._process.log_file.read_text(errors="replace")
-
     def log(self) -> str:
         """The logs of all processes."""
-        return "".join((*self._ended, self._read_log()))
+        return "".join(process.log_file.read_text(errors="replace") for process in self._processes)
