Input without an end no longer closes new clients unread

Cause: beside hundreds of clients whose header does not end, all connections were either reading a head, with more unread, or discarding input after the 431, for 2 s each; neither may be closed for others, so that new clients were closed over their unread requests. Where a slot became free, the connection accepted last was closed before its client had written.

Change: of a client whose only input was unreadable at most 256 KiB are discarded, and its connection is closed first for others: it is owed an error or a close. While heads wait to be read, or the only connections to close are younger than 20 ms, new ones wait in the kernel's queue (0.25 s at most for heads). Others are chosen as before.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -40,7 +40,7 @@
     chunk,
 )
 from sprucenotch.node.transport import SocketTransport
-from sprucenotch.policy.incomplete import choose_to_give_up, seconds_until_choice
+from sprucenotch.policy.incomplete import MAX_USUAL_START, choose_to_give_up, seconds_until_choice
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +65,14 @@
 # Seconds for which input is still read after the last answer: closing with unread input would send a reset,
 # by which the client may lose the answer.
 LINGER_TIMEOUT = 2.0
+# The same in bytes, for a client whose input was no request: it is owed an error or a close.
+MAX_DISCARDED_AFTER_ERROR = 256 * 1024
+# Statuses of input that cannot be read as a request.
+UNREADABLE = (
+    HTTPStatus.BAD_REQUEST,
+    HTTPStatus.REQUEST_URI_TOO_LONG,
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+)
 
 
 def unusual_size(size: int) -> int:
@@ -86,6 +94,8 @@
         self._chunked = False  # the answer is sent with chunked transfer coding
         self._answer_written = True  # completely, to the transport
         self._discarding = False  # further input is discarded
+        self._owed_nothing = False  # all that came was unreadable: a close is as good as an error
+        self._discarded = 0  # bytes of input after the error, if nothing more is owed
         self._last_answer_sent = False  # no further answers follow on this connection
         self._write_blocked = False  # the client does not read its answers
         self._reading_paused = False
@@ -149,6 +159,11 @@
         """Whether its last answer has been sent, and the rest of its input is only discarded."""
         return self._last_answer_sent and not self._unread()
 
+    @property
+    def refused_unreadable(self) -> bool:
+        """Whether its only input was unreadable and has been answered with an error."""
+        return self._owed_nothing and self._last_answer_sent
+
     def give_up_incomplete(self, close: bool) -> None:
         """Refuse the request that is being read, to free its memory, and with `close` its descriptor too."""
         self.frontend.host.count("incomplete_given_up")
@@ -165,6 +180,12 @@
         """Whether its first request, or a part of it, is in the kernel's buffer and not read yet."""
         return self._unused and self._unread()
 
+    @property
+    def has_unread_head(self) -> bool:
+        """Whether a part of a head, or a new connection's first input, is in the kernel's buffer."""
+        in_head = self._unused or (self._reading and not self._head_received)
+        return in_head and not self._discarding and self._unread()
+
     @property
     def _pipeline_full(self) -> bool:
         """Whether reading of further requests waits until answers have been sent."""
@@ -277,6 +298,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._discarding:
+            self._note_discarded(nbytes)
             return
         self._request_timeout.byte_received()
         more = nbytes >= len(HEAD_READ_BUFFER) and nbytes == len(self.get_buffer(-1)) and self._unread()
@@ -298,6 +320,13 @@
             self._await_request()
         self._update_reading()
 
+    def _note_discarded(self, size: int) -> None:
+        """Close a connection on which unreadable input does not end."""
+        if self._owed_nothing:
+            self._discarded += size
+            if self._discarded > MAX_DISCARDED_AFTER_ERROR:
+                self.close_connection(CloseReason.UNREADABLE, abort=True)
+
     # ---- waiting for the client
 
     def _await_request(self) -> None:
@@ -420,6 +449,8 @@
         if exchange is None:
             exchange = Exchange(self.flush, self.connected, closes_connection=True, http10=False)
             self._exchanges.append(exchange)
+        only_one = not self._answered_at and len(self._exchanges) == 1
+        self._owed_nothing = only_one and error.status in UNREADABLE
         exchange.closes_connection = True
         if exchange.answer is None:
             self.frontend.host.client_gone(exchange.id)
@@ -793,6 +824,12 @@
     return [connection for connection in connections if connection.incomplete]
 
 
+def _old_enough(connections: list[ClientConnection], age: float) -> list[ClientConnection]:
+    """Return those that have been used or are of that age, in seconds: the first request of another one may
+    be about to arrive."""
+    return [connection for connection in connections if connection.used or connection.age >= age]
+
+
 def slowest_of(
     incomplete: list[ClientConnection], others_waiting_for: float = 0.0
 ) -> ClientConnection | None:
@@ -833,13 +870,13 @@
     def _make_room(self, open_connections: list[ClientConnection], newcomer: ClientConnection) -> None:
         """Over the limit: close a connection whose close loses nothing, else refuse an incomplete request,
         else close the new connection."""
-        closable = next(self._closable(open_connections), None)
+        closable = next(self._closable(_old_enough(open_connections, MAX_USUAL_START)), None)
         if closable is not None:
             closable.free_descriptor()
         elif (slowest := slowest_of(incomplete_ones(open_connections), self._waiting_for)) is not None:
             slowest.give_up_incomplete(close=True)
         else:
-            newcomer.free_descriptor()
+            next(self._closable(open_connections), newcomer).free_descriptor()
 
     def has_room(self) -> bool:
         """Whether a new connection is within the limit, also counting those that are closing."""
@@ -849,13 +886,18 @@
         """In how many seconds a new connection can be accepted without closing one that is needed; 0 also if
         waiting does not help."""
         open_connections = self._open_connections()
-        if len(open_connections) < self._max_connections or any(self._closable(open_connections)):
+        old_enough = _old_enough(open_connections, MAX_USUAL_START)
+        if len(open_connections) < self._max_connections or any(self._closable(old_enough)):
             self._waiting_since = None
             return 0.0
         if self._waiting_since is None:
             self._waiting_since = self.now()
-        ages = [c.arriving_for for c in incomplete_ones(open_connections)]
-        return seconds_until_choice(ages, self._waiting_for) or 0.0
+        return seconds_until_choice(
+            [c.arriving_for for c in incomplete_ones(open_connections)],
+            self._waiting_for,
+            [c.age for c in open_connections if c.idle and not c.used],
+            any(c.has_unread_head for c in open_connections),
+        )
 
     @property
     def _waiting_for(self) -> float:
@@ -883,7 +925,7 @@
         open_connections = self._open_connections()
         if len(open_connections) < len(self._connections):
             return
-        old_enough = [c for c in open_connections if c.used or c.age >= MIN_UNUSED_AGE]
+        old_enough = _old_enough(open_connections, MIN_UNUSED_AGE)
         if (closable := next(self._closable(old_enough), None)) is not None:
             closable.free_descriptor()
 
@@ -891,14 +933,15 @@
         return [c for c in self._connections if not c.closing]
 
     def _closable(self, open_connections: list[ClientConnection]) -> Iterator[ClientConnection]:
-        """Connections that may be closed, best first: those whose last answer has been sent, then used ones
-        (a request that crosses the close is sent again by the client), then idle ones. One whose first
-        request has arrived in part is never closed for this; `RequestTimeLimit` ends the wait for a request
-        that stays incomplete."""
+        """Connections that may be closed, best first: those whose last answer has been sent, those that are
+        owed no more than a close, used ones (a request that crosses the close is sent again by the client),
+        and new ones on which nothing has come. One whose first request has arrived in part is never closed
+        for this; `RequestTimeLimit` ends the wait for the rest of a request."""
         lingering = (c for c in open_connections if c.lingering)
+        refused = (c for c in open_connections if c.refused_unreadable)
         done = (c for c in open_connections if c.used_and_idle)
         idle = (c for c in open_connections if c.idle and not c.has_unread_request)
-        return itertools.chain(lingering, done, idle)
+        return itertools.chain(lingering, refused, done, idle)
 
     def closed(self, connection: ClientConnection) -> None:
         self._connections.pop(connection, None)
--- a/sprucenotch/node/rules.py
+++ b/sprucenotch/node/rules.py
@@ -52,6 +52,7 @@
     CLIENT_LEFT = "client left"
     ANSWER_BROKE = "answer broke"  # the answer cannot be completed, and the client has to see that
     NOT_READING = "not reading"  # the client does not read its answers
+    UNREADABLE = "unreadable"  # the client goes on with input that is no request, after its error
 
 
 # Reasons with which a client cannot get the answer to a pending request.
--- a/sprucenotch/policy/incomplete.py
+++ b/sprucenotch/policy/incomplete.py
@@ -13,6 +13,13 @@
 MAX_USUAL_ARRIVAL = 0.25
 # The same while others have been waiting for longer than that: all of a queue has to get its turn in time.
 MIN_USUAL_ARRIVAL = 0.05
+# Seconds between a connect and the first byte of a request, if others wait for the connection.
+MAX_USUAL_START = 0.02
+# Seconds after which heads that wait to be read are looked at again: each is whole, refused or waits for its
+# client after some reads.
+UNREAD_HEAD_WAIT = 0.005
+# Seconds for which others wait for heads to be read, as long as nothing else makes room.
+MAX_UNREAD_HEAD_WAIT = 0.25
 
 
 def patience(others_waiting_for: float) -> float:
@@ -26,6 +33,18 @@
     return arriving_for.index(longest) if longest >= patience(others_waiting_for) else None
 
 
-def seconds_until_choice(arriving_for: Sequence[float], others_waiting_for: float = 0.0) -> float | None:
-    """Return in how many seconds one may be refused, if none is complete before; None if there is none."""
-    return max(0.0, patience(others_waiting_for) - max(arriving_for)) if arriving_for else None
+def seconds_until_choice(
+    arriving_for: Sequence[float],
+    others_waiting_for: float = 0.0,
+    unused_for: Sequence[float] = (),
+    unread_heads: bool = False,
+) -> float:
+    """Return in how many seconds there is room for others, if nothing ends before: a request may be refused,
+    or an unused connection be closed. 0 also if waiting does not help. `unread_heads`: requests whose head
+    has yet to be read may make room too."""
+    waits = [patience(others_waiting_for) - max(arriving_for)] if arriving_for else []
+    if unused_for:
+        waits.append(MAX_USUAL_START - max(unused_for))
+    if not waits and unread_heads and others_waiting_for < MAX_UNREAD_HEAD_WAIT:
+        return UNREAD_HEAD_WAIT
+    return max(0.0, min(waits, default=0.0))
