Testbed and tests: addresses outside the ports that connections get

Cause: a free port was one that the kernel gave for a moment; until a process bound it, any outgoing connection of the machine could get the same. Of eight runs of test_failing_handover side by side one ended with "Address already in use".

Change: ports are drawn below the kernel's range, and checked. Tests use the testbed's function.

--- a/sprucenotch/testbed/process.py
+++ b/sprucenotch/testbed/process.py
@@ -6,6 +6,7 @@
 import contextlib
 import ctypes
 import os
+import random
 import resource
 import signal
 import socket
@@ -13,7 +14,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from pathlib import Path
 from typing import IO, Any
@@ -25,6 +26,9 @@
 LOG_TAIL_LINES = 5  # of its log in an error message
 
 
+PORTS = range(20_000, 32_000)  # below those that Linux gives to connections
+_random = random.SystemRandom()  # processes that draw at the same time get different ports
+
 SLICE = 0.02  # seconds: a slowed process runs for a share of each
 MAX_DESCRIPTORS = 1024  # of a sidecar, as in a deployment
 MAX_ADDRESS_SPACE = 2_000_000_000  # bytes, so that a faulty process cannot exhaust the machine's memory
@@ -38,11 +42,20 @@
     """A process of the run ended unexpectedly or did not become ready."""
 
 
-def free_address() -> str:
-    """Return a loopback address whose port is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+def _draw_port() -> int:
+    return _random.choice(PORTS)
+
+
+def free_address(draw: Callable[[], int] = _draw_port) -> str:
+    """Return a loopback address whose port is free at the moment.
+
+    The kernel gives none of these ports to a connection, which could hold it before the address is used.
+    """
+    while True:
+        port = draw()
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 def http_get(address: str, path: str, timeout: float = 1.0) -> tuple[int, bytes]:
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -22,6 +22,7 @@
 from sprucenotch.node.host import Host
 from sprucenotch.node.listener import bound, listening
 from sprucenotch.platform.clock import Clock
+from sprucenotch.testbed.process import free_address
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 request_ids = itertools.count(1 << 32)
@@ -145,10 +146,8 @@
 
 
 def dead_dial() -> str:
-    """Return an address on which nothing listens: its port was bound and released without listening."""
-    with socket.socket() as bound:
-        bound.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{bound.getsockname()[1]}"
+    """Return an address on which nothing listens."""
+    return free_address()
 
 
 def configuration(*dials: str, discovery: str = "", **changes: Any) -> dict[str, Any]:
