Testbed: answers that SIGKILL cuts off are told from those that could be whole

Single requests were not traced.

Change: servers note when they wrote the last byte of an answer, clients when they saw the end, the play when it sent SIGKILL. An answer that the server had not written 0.15 s before the kill, and that ended with it, is a finding of its own rule. A request that crossed a close, was sent again and cut off was reported as lost too; it no longer is.

--- a/sprucenotch/cli/pressure.py
+++ b/sprucenotch/cli/pressure.py
@@ -68,5 +68,5 @@
         f"peak {result.peak_memory / 1e6:.1f} MB; testbed late {result.late:.2f} s; "
         f"{len(result.findings)} findings"
     ]
-    lines += [f"  BROKEN {rule}, {id}: {said}" for rule, id, said in result.findings[:MAX_FINDINGS]]
+    lines += [f"  BROKEN {rule}, {id}: {said}" for rule, id, said, _ in result.findings[:MAX_FINDINGS]]
     return "\n".join(lines)
--- a/sprucenotch/testbed/pressure/client.py
+++ b/sprucenotch/testbed/pressure/client.py
@@ -27,9 +27,10 @@
 class Finding(NamedTuple):
     """A broken promise."""
 
-    rule: str  # lost, late, cut off, not as made, began after leaving, memory, ended
+    rule: str  # lost, late, cut off, unfinished at the kill, not as made, began after leaving, memory, ended
     id: str  # of the request; empty if it concerns the process
     said: str
+    at: float = 0.0  # when a well-behaved client saw it, on the monotonic clock
 
 
 class _Broken(Exception):
@@ -55,7 +56,7 @@
         self._lateness, self._pause = lateness, pause
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.statuses: Counter[int] = Counter()
-        self.unanswered: list[tuple[str, float]] = []  # ids whose connection ended without an answer; sent at
+        self.unanswered: list[str] = []  # ids whose connection ended without an answer
         self.times: list[float] = []  # seconds to the final answer
         self.findings: list[Finding] = []
 
@@ -67,7 +68,8 @@
             try:
                 await self._request(cls, id, form)
             except _Broken as problem:
-                self.findings.append(Finding(problem.rule, id, f"{cls.name}, {form}: {problem.said}"))
+                said = f"{cls.name}, {form}: {problem.said}"
+                self.findings.append(Finding(problem.rule, id, said, time.monotonic()))
                 self._close()
             await asyncio.sleep(self._requests.rng.random() * 2 * self._pause)
         self._close()
@@ -83,14 +85,22 @@
             if fresh:
                 self._close()
             kept = self._stream is not None
-            if await self._exchange(head, cls, id, form):
-                # One that crossed the close of an idle connection has its answer now.
-                self.unanswered = [one for one in self.unanswered if one[0] != id]
+            try:
+                answered = await self._exchange(head, cls, id, form)
+            except _Broken:  # judged by itself
+                self._forget_crossing(id)
+                raise
+            if answered:
+                self._forget_crossing(id)
                 return
             if not kept:
                 break
         self._close()
 
+    def _forget_crossing(self, id: str) -> None:
+        """A request that crossed the close of an idle connection has had an answer on another one."""
+        self.unanswered = [one for one in self.unanswered if one != id]
+
     async def _exchange(self, head: bytes, cls: RequestClass, id: str, form: AnswerForm) -> bool:
         """Send a request and judge its answer; False if its connection ended without a byte of an answer."""
         try:
@@ -108,7 +118,7 @@
         except TimeoutError:
             raise _Broken("late", f"no answer {due + 5:.1f} s after the request") from None
         except (OSError, asyncio.IncompleteReadError):
-            self.unanswered.append((id, sent_at))
+            self.unanswered.append(id)
             return False
         status = int(first.split(" ")[1])
         self.statuses[status] += 1
--- a/sprucenotch/testbed/pressure/lives.py
+++ b/sprucenotch/testbed/pressure/lives.py
@@ -53,7 +53,7 @@
 
 class Lives:
     """A context manager that starts the first process and ends the last. `findings` are what its processes
-    did wrong, `stopped_at` the times of SIGTERM on the monotonic clock."""
+    did wrong, `killed_at` the times of SIGKILL on the monotonic clock."""
 
     def __init__(self, configuration: dict[str, Any], program: Program, pressure: Pressure) -> None:
         self._configuration, self._program, self._pressure = configuration, program, pressure
@@ -64,7 +64,7 @@
         self._processes: list[SidecarProcess] = []  # all that were started
         self.peak = 0
         self.findings: list[Finding] = []
-        self.stopped_at: list[float] = []
+        self.killed_at: list[float] = []
 
     async def __aenter__(self) -> Lives:
         self._new_folder()
@@ -142,11 +142,11 @@
 
     async def _stop(self, process: SidecarProcess) -> None:
         """Send SIGTERM, and SIGKILL as early as the pages allow."""
-        self.stopped_at.append(time.monotonic())
         process.signal(signal.SIGTERM)
         try:
             await process.wait(self._kill_timeout)
         except TimeoutError:
+            self.killed_at.append(time.monotonic())
             process.kill()
 
     async def end(self) -> list[Finding]:
--- a/sprucenotch/testbed/pressure/play.py
+++ b/sprucenotch/testbed/pressure/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter
@@ -15,17 +16,19 @@
 from sprucenotch.testbed.discovery import Discovery, Entry
 from sprucenotch.testbed.lateness import Lateness
 from sprucenotch.testbed.pressure.client import Finding, SteadyClient
-from sprucenotch.testbed.pressure.lives import MAX_DEADLINE, Lives, Pressure
+from sprucenotch.testbed.pressure.lives import Lives, Pressure
 from sprucenotch.testbed.pressure.peers import LEAVE_SLACK, Left, Peers
 from sprucenotch.testbed.pressure.request import AnswerForm, RequestWriter, request_classes
 from sprucenotch.testbed.pressure.server import PressureServer
 from sprucenotch.testbed.process import RunError, free_address
 from sprucenotch.testbed.revision import Program
-from sprucenotch.testbed.sidecar import KILL_AFTER
 
 SERVERS, STEADY_CLIENTS = 6, 12
 END_TIMEOUT = 15.0  # seconds after a play's end by which all its clients have ended
 MEMORY_CHECK_INTERVAL = 0.05  # seconds
+KILL_SEEN_WITHIN = 0.3  # seconds from SIGKILL until a client has seen the end of its connection
+MAX_HELD_UP = 0.15  # seconds for which a sidecar may be held up, by the terms
+UNFINISHED = "unfinished at the kill"  # a rule
 
 
 class PressureResult(Struct, frozen=True, kw_only=True):
@@ -127,9 +130,12 @@
     finally:
         watching.cancel()
     findings = [
-        *(finding for client in clients for finding in client.findings), *peers.findings,
+        *(
+            name_kill(finding, lives.killed_at, servers) for client in clients for finding in client.findings
+        ),
+        *peers.findings,
         *began_after_leaving(peers.left, servers, lateness.between), *ran_twice(peers.repeated, servers),
-        *lost(clients, servers, lives.stopped_at), *lives.findings, *await lives.end(),
+        *lost(clients, servers), *lives.findings, *await lives.end(),
     ]  # fmt: skip
     return PressureResult(
         findings=findings, statuses=dict(sum((c.statuses for c in clients), Counter[int]())),
@@ -139,6 +145,17 @@
     )  # fmt: skip
 
 
+def name_kill(finding: Finding, killed_at: list[float], servers: list[PressureServer]) -> Finding:
+    """Return the finding: an answer that SIGKILL cut off has its own rule if its server was still writing, or
+    had just written the last byte."""
+    answered_at = min(server.answered_at.get(finding.id, math.inf) for server in servers)
+    by_kill = any(
+        kill <= finding.at <= kill + KILL_SEEN_WITHIN and answered_at > kill - MAX_HELD_UP
+        for kill in killed_at
+    )
+    return finding._replace(rule=UNFINISHED) if finding.rule == "cut off" and by_kill else finding
+
+
 def began_after_leaving(
     left: list[Left], servers: list[PressureServer], late_between: Callable[[float, float], float]
 ) -> Iterator[Finding]:
@@ -162,14 +179,10 @@
             yield Finding("ran twice", id, f"servers began it {begun[id]} times")
 
 
-def lost(
-    clients: list[SteadyClient], servers: list[PressureServer], stopped_at: list[float]
-) -> Iterator[Finding]:
-    """Requests that a server began, and whose connection ended without an answer. One that was sent more
-    than KILL_AFTER after SIGTERM may be unanswered at the kill."""
+def lost(clients: list[SteadyClient], servers: list[PressureServer]) -> Iterator[Finding]:
+    """Requests that a server began, and whose connection ended without an answer."""
     begun = {begun.id for server in servers for begun in server.begun}
     for client in clients:
-        for id, sent_at in client.unanswered:
-            late = any(0 <= sent_at - stop - KILL_AFTER < MAX_DEADLINE for stop in stopped_at)
-            if id in begun and not late:
+        for id in client.unanswered:
+            if id in begun:
                 yield Finding("lost", id, "a server began it, and its connection ended without an answer")
--- a/sprucenotch/testbed/pressure/server.py
+++ b/sprucenotch/testbed/pressure/server.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.begun: list[Begun] = []
+        self.answered_at: dict[str, float] = {}  # when the last byte of an answer was written, by id
 
     async def serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         first, headers = await read_head(reader)
@@ -49,10 +50,10 @@
         reader._limit = MAX_HEAD  # type: ignore[attr-defined]
         self.begun.append(Begun(headers["req-id"], time.monotonic()))
         await asyncio.sleep(form.work)
+        await self._answer(writer, headers["req-id"], form)
+        self.answered_at[headers["req-id"]] = time.monotonic()
         if form.framing == "close":
-            await self._answer(writer, headers["req-id"], form)
             raise ConnectionResetError("the answer ends with its connection")
-        await self._answer(writer, headers["req-id"], form)
 
     async def _read_body(
         self, reader: asyncio.StreamReader, headers: dict[str, str], form: AnswerForm
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -7,11 +7,19 @@
 import pytest
 import uvloop
 
+from sprucenotch.testbed.pressure.client import Finding
 from sprucenotch.testbed.pressure.draw import LEAST_LIMITS, draw
 from sprucenotch.testbed.pressure.lives import Pressure
 from sprucenotch.testbed.pressure.peers import Behaviour
-from sprucenotch.testbed.pressure.play import play
+from sprucenotch.testbed.pressure.play import (
+    KILL_SEEN_WITHIN,
+    MAX_HELD_UP,
+    UNFINISHED,
+    name_kill,
+    play,
+)
 from sprucenotch.testbed.pressure.request import AnswerForm, answer_form
+from sprucenotch.testbed.pressure.server import PressureServer
 from sprucenotch.testbed.revision import ROOT, Program
 from sprucenotch.testbed.site import SITES
 from tests.planted import UNDER_PRESSURE
@@ -70,3 +78,16 @@
     assert {one.site for one in drawn} == set(SITES)
     assert LEAST_LIMITS in {(one.memory_mb, one.descriptors) for one in drawn}
     assert any(one.stops for one in drawn) and any(one.reloads > 2 for one in drawn)
+
+
+def test_answer_cut_off_by_the_kill_is_told_from_one_that_could_have_been_whole() -> None:
+    cut, server = Finding("cut off", "id", "", at=10.05), PressureServer()
+    assert name_kill(cut, [10.0], [server]).rule == UNFINISHED
+    assert name_kill(cut, [], [server]) == name_kill(cut, [10.1], [server]) == cut
+    assert name_kill(cut, [10.05 - 2 * KILL_SEEN_WITHIN], [server]) == cut
+    server.answered_at["id"] = 10.0 - MAX_HELD_UP / 2
+    assert name_kill(cut, [10.0], [server]).rule == UNFINISHED
+    server.answered_at["id"] = 10.0 - MAX_HELD_UP
+    assert name_kill(cut, [10.0], [server]) == cut
+    late = cut._replace(rule="late")
+    assert name_kill(late, [10.0], [PressureServer()]) == late
