Requests that came before SIGTERM are answered before SIGKILL too

Cause: SIGKILL comes 3 s after SIGTERM at the earliest where the longest deadline is more, plus 0.7 s. The log, with the new event `upload begins`, shows both lost requests taken 0.45 s before SIGTERM and nothing of them until the process is gone.

Change: the drain shortens the deadline of every open request, also for the decisions (`Shortened`). An upload whose last byte may be unread is given up by the same time.

Tests: three, "before_the_kill" in test_orders.py and test_arrival.py, fail without the change.

--- a/sprucenotch/api.py
+++ b/sprucenotch/api.py
@@ -160,6 +160,13 @@
     expires_at: int
 
 
+class Shortened(NamedTuple):
+    """A request has to be answered earlier than was said, as the process will be killed."""
+
+    id: int
+    expires_at: int
+
+
 class Completed(NamedTuple):
     """An attempt has ended."""
 
@@ -271,6 +278,7 @@
     | EndpointList
     | Request
     | Uploaded
+    | Shortened
     | Completed
     | StreamStarted
     | Gone
--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -397,7 +397,7 @@
         if self._client_still_writing(exchange.upload.length):
             self._arrival.client_still_writing(now)
         exchange.unread_for = self._arrival.unread_for(now)
-        if exchange.unread_for * SECOND >= incoming.deadline - UPLOAD_CHECK_INTERVAL * SECOND:
+        if self._overdue_soon(exchange.unread_for, incoming.deadline):
             event(
                 log, logging.DEBUG, "upload overdue", connection=self.number, request=exchange.id,
                 unread_for_ms=round(exchange.unread_for * 1000), bytes=self._body_size,
@@ -406,6 +406,13 @@
         else:
             self._schedule_upload_check(True)
 
+    def _overdue_soon(self, unread_for: float, deadline: int) -> bool:
+        """Whether the time of a request whose last byte may have come so many seconds ago ends before the
+        next check."""
+        now = self.frontend.host.now()
+        due = self.frontend.host.answer_deadline(now - int(unread_for * SECOND), deadline)
+        return unread_for > 0 and due - now <= UPLOAD_CHECK_INTERVAL * SECOND
+
     def _client_still_writing(self, length: int | None) -> bool:
         """Whether it is certain that the client has not written all of a body of that length."""
         if length is None or self._transport is None:
@@ -730,6 +737,11 @@
         self.frontend.host.request(
             exchange, incoming._replace(head=incoming.head + framing), reservation, exchange.upload
         )
+        if log.isEnabledFor(logging.DEBUG):
+            event(
+                log, logging.DEBUG, "upload begins", connection=self.number, request=exchange.id,
+                req_id=incoming.req_id.decode("latin-1"), length=length,
+            )  # fmt: skip
 
     def _send_continue(self) -> None:
         """Send "100 Continue", once all earlier answers have been sent."""
--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -123,12 +123,26 @@
         self.post(api.Retuned(config.settings))
 
     def drain(self) -> None:
-        """Start the drain: the process has been asked to stop and will be killed."""
+        """Start the drain: the process has been asked to stop and will be killed. All requests are answered
+        before, also those with a longer deadline that have come already."""
         longest = max(cls.limit for cls in self._settings.classes)
         self._drain_deadline = self.now() + min(longest, MAX_DRAIN_DEADLINE) + DRAIN_KILL_GRACE - DRAIN_MARGIN
+        for request in list(self._open.values()):
+            if request.received and not request.answered and request.expires_at > self._drain_deadline:
+                self._shorten(request, self._drain_deadline)
+
+    def _shorten(self, request: OpenRequest, expires_at: int) -> None:
+        """Set an earlier deadline of a request that has been received."""
+        request.expires_at = expires_at
+        self._set_deadline_timer(request)
+        if request.attempt is not None:
+            request.attempt_deadline = min(request.attempt_deadline, expires_at)
+            self._release_answers(request.attempt, request.attempt_deadline - self.now())
+        self.post(api.Shortened(request.id, expires_at))
 
-    def _answer_deadline(self, arrived_at: int, deadline: int) -> int:
-        """Return when a request whose last byte came at that time has to be answered."""
+    def answer_deadline(self, arrived_at: int, deadline: int) -> int:
+        """Return when a request whose last byte came at that time has to be answered, in nanoseconds of
+        `now`."""
         expires_at = arrived_at + max(0, deadline - DEADLINE_MARGIN)
         return expires_at if self._drain_deadline is None else min(expires_at, self._drain_deadline)
 
@@ -215,7 +229,7 @@
         self.count("requests")
         self._last_id += 1
         rid, now = self._last_id, self.now()
-        expires_at = self._answer_deadline(now - int(client.unread_for * SECOND), incoming.deadline)
+        expires_at = self.answer_deadline(now - int(client.unread_for * SECOND), incoming.deadline)
         cls = self._settings.classes[self._class_numbers[incoming.cls]]
         request = self._open[rid] = OpenRequest(
             rid, client, incoming, expires_at, self._settings.max_attempts, reservation, upload, cls.effect,
@@ -283,7 +297,12 @@
         self.telemetry.in_progress += 1
         if log.isEnabledFor(logging.DEBUG):
             tell(log, logging.DEBUG, "taken", request=request.id, req_id=request.req_id)
-        seconds_left = (request.expires_at - request.received_at) / SECOND
+        self._set_deadline_timer(request)
+
+    def _set_deadline_timer(self, request: OpenRequest) -> None:
+        if request.deadline_timer is not None:
+            request.deadline_timer.cancel()
+        seconds_left = (request.expires_at - self.now()) / SECOND
         request.deadline_timer = self._loop.call_later(seconds_left, self._at_deadline, request)
 
     def uploaded(self, rid: int) -> None:
@@ -296,7 +315,7 @@
         arrived_at = now - int(request.client.unread_for * SECOND)
         request.sent_at, request.expires_at = (
             now,
-            self._answer_deadline(arrived_at, request.incoming.deadline),
+            self.answer_deadline(arrived_at, request.incoming.deadline),
         )
         request.attempt_deadline = request.expires_at
         self._request_received(request)
@@ -462,9 +481,11 @@
             request.attempt_timer = self._loop.call_later(
                 request.timeout / SECOND, attempt.abandon, Outcome.TIMEOUT
             )
-        attempt.release_answers_from(
-            time.monotonic_ns() + int((request.attempt_deadline - request.sent_at) * MAX_BUFFERING_SHARE)
-        )
+        self._release_answers(attempt, request.attempt_deadline - request.sent_at)
+
+    def _release_answers(self, attempt: Attempt, time_left: int) -> None:
+        """Stream an answer of unknown length once a share of the time that is left has passed."""
+        attempt.release_answers_from(time.monotonic_ns() + int(time_left * MAX_BUFFERING_SHARE))
 
     def _last_byte_sent(self, request: OpenRequest) -> None:
         """Count an attempt whose last byte has been sent."""
--- a/sprucenotch/policy/balance.py
+++ b/sprucenotch/policy/balance.py
@@ -68,7 +68,8 @@
         self.handlers = {
             api.Attached: self.on_attached, api.EndpointList: self.on_list, api.Request: self.on_request,
             api.Completed: self.on_completed, api.Gone: self.on_gone, api.Timer: self.on_timer,
-            api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded, api.Probed: self.on_probed,
+            api.StreamStarted: self.on_gone, api.Uploaded: self.on_uploaded,
+            api.Shortened: self.on_shortened, api.Probed: self.on_probed,
             api.PeerMessage: self.on_peer, api.Recalled: self.on_recalled,
             api.Retuned: lambda now, event: self.apply_settings(event.settings),
             api.DiscoveryMoved: self.on_discovery_moved, api.ClockSkew: self.on_clock_skew,
@@ -475,6 +476,11 @@
             request.uploading, request.expires_at = False, event.expires_at
             request.arrived_at = request.sent_at = now
 
+    def on_shortened(self, now: int, event: api.Shortened) -> None:
+        """The request has to be answered earlier."""
+        if (request := self.pending.get(event.id)) is not None:
+            request.expires_at = min(request.expires_at, event.expires_at)
+
     def is_useless_repeat(self, event: api.Request, class_state: ClassState, now: int) -> bool:
         """Whether this repeat comes too late, by the time until its deadline, for an answer to count."""
         cls, time_left = class_state.cls, event.expires_at - now
--- a/sprucenotch/policy/incomplete.py
+++ b/sprucenotch/policy/incomplete.py
@@ -8,15 +8,13 @@
 
 from collections.abc import Sequence
 
-# Seconds in which a request arrives whole, unless its client writes slowly or has stopped: network delay and
-# a client that is held up.
+# Seconds in which a request arrives whole, unless its client writes slowly or has stopped.
 MAX_USUAL_ARRIVAL = 0.25
 # The same while others have been waiting for longer than that: all of a queue has to get its turn in time.
 MIN_USUAL_ARRIVAL = 0.05
 # Seconds between a connect and the first byte of a request, if others wait for the connection.
 MAX_USUAL_START = 0.02
-# Seconds after which heads that wait to be read are looked at again: each is whole, refused or waits for its
-# client after some reads.
+# Seconds until heads that wait to be read are looked at again.
 UNREAD_HEAD_WAIT = 0.005
 # Seconds for which others wait for heads to be read, as long as nothing else makes room.
 MAX_UNREAD_HEAD_WAIT = 0.25
@@ -39,12 +37,10 @@
     unused_for: Sequence[float] = (),
     unread_heads: bool = False,
 ) -> float:
-    """Return in how many seconds there is room for others, if nothing ends before: a request may be refused,
-    or an unused connection be closed. 0 also if waiting does not help. `unread_heads`: requests whose head
-    has yet to be read may make room too."""
+    """Return in how many seconds a request may be refused or an unused connection closed for others; 0 also
+    if waiting does not help. `unread_heads`: requests whose head has yet to be read may make room too."""
     waits = [patience(others_waiting_for) - max(arriving_for)] if arriving_for else []
-    if unused_for:
-        waits.append(MAX_USUAL_START - max(unused_for))
+    waits += [MAX_USUAL_START - max(unused_for)] if unused_for else []
     if not waits and unread_heads and others_waiting_for < MAX_UNREAD_HEAD_WAIT:
         return UNREAD_HEAD_WAIT
     return max(0.0, min(waits, default=0.0))
--- a/tests/planted_hunt.py
+++ b/tests/planted_hunt.py
@@ -188,7 +188,7 @@
     def planted(self: Host, arrived_at: int, deadline: int) -> int:
         return arrived_at + deadline - 10_000_000
 
-    Host._answer_deadline = planted  # type: ignore[method-assign]
+    Host.answer_deadline = planted  # type: ignore[method-assign]
 
 
 def give_up_discovery() -> None:
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+from collections.abc import AsyncIterator
 
 import pytest
 
 from sprucenotch import api
-from sprucenotch.node import connection
+from sprucenotch.node import connection, host
 from sprucenotch.node.arrival import MAX_KERNEL_BUFFERS, MAX_REFILL_DELAY, Arrival
 from sprucenotch.node.exchange import Exchange
 from sprucenotch.node.stream import MAX_READ_SIZE
-from tests.sidecar import SETTINGS, always_ok, endpoint, request, run, sidecar
+from tests.sidecar import SETTINGS, Client, Sidecar, always_ok, endpoint, request, run, sidecar
 from tests.test_ended_exchanges import LateHost, PausableTransport
 from tests.test_stream import CHUNKED, LENGTH, LONG, Peer, chunked, post_head
 
 DEADLINE = 0.3  # seconds
+LONG_DEADLINE = 9.0  # seconds
 SOON = 2 * MAX_REFILL_DELAY
 
 
@@ -56,9 +59,9 @@
 
 def test_time_in_which_a_body_was_not_read_counts_for_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
     now, given = 0.0, list[Exchange]()
-    host, transport = LateHost(), PausableTransport()
-    peer = Peer(host, transport)
-    monkeypatch.setattr(host, "uploaded", lambda rid: given.append(peer.connection._exchanges[0]))
+    late_host, transport = LateHost(), PausableTransport()
+    peer = Peer(late_host, transport)
+    monkeypatch.setattr(late_host, "uploaded", lambda rid: given.append(peer.connection._exchanges[0]))
     monkeypatch.setattr(peer.connection.frontend, "now", lambda: now)
     sent = post_head(CHUNKED) + chunked(LONG[: 4 * MAX_READ_SIZE])
     at = 0
@@ -66,7 +69,7 @@
         peer.feed(sent[at : at + MAX_READ_SIZE])
         at += MAX_READ_SIZE
     now = 1.5
-    host.connect()
+    late_host.connect()
     peer.feed(sent[at:])
     [exchange] = given
     assert exchange.unread_for == 1.5
@@ -89,6 +92,31 @@
     run(test())
 
 
+@contextlib.asynccontextmanager
+async def server_that_stops_reading() -> AsyncIterator[str]:
+    """A server that accepts connections and reads nothing; its address."""
+
+    async def stops_reading(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.Event().wait()
+
+    with socket.socket() as listener:  # small buffers: loopback would hold all of it
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+        listener.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(stops_reading, sock=listener, limit=1000)
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        server.close()
+
+
+async def begin_upload(node: Sidecar, framing: bytes, deadline: float) -> Client:
+    """Write all of a large request."""
+    client, body = await node.client(), LONG * 4
+    sized = framing.replace(b"%d" % len(LONG), b"%d" % len(body))
+    client.writer.write(request("post", deadline=f"{deadline}", extra=sized))
+    client.writer.write(body if framing == LENGTH else chunked(body))
+    return client
+
+
 # Guards against: a server does not read a large request, so the sidecar leaves its last byte unread, and the
 # final answer comes seconds after its time.
 @pytest.mark.parametrize("framing", [LENGTH, CHUNKED])
@@ -98,24 +126,30 @@
     monkeypatch.setattr(connection, "STALL_TIMEOUT", 1000.0)
     settings = SETTINGS | {"Limits": SETTINGS["Limits"] | {"MaxAttempts": 1}}
 
-    async def stops_reading(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await asyncio.Event().wait()
+    async def test() -> None:
+        async with server_that_stops_reading() as dial, sidecar(dial, settings=settings) as node:
+            client = await begin_upload(node, framing, DEADLINE)
+            assert (await client.answer())[0] == 503  # it was never sent whole
+            assert node.host.telemetry.upstream_tries == 0
+
+    run(test())
+
+
+# Guards against: the same over a planned stop, with more time than is left until SIGKILL.
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKED])
+def test_upload_to_a_server_that_stops_reading_is_answered_before_the_kill(
+    framing: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(connection, "STALL_TIMEOUT", 1000.0)
+    monkeypatch.setattr(host, "MAX_DRAIN_DEADLINE", 0)
 
     async def test() -> None:
-        with socket.socket() as listener:  # small buffers: loopback would hold all of it
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
-            listener.bind(("127.0.0.1", 0))
-            server = await asyncio.start_server(stops_reading, sock=listener, limit=1000)
-            dial = f"127.0.0.1:{listener.getsockname()[1]}"
-            async with sidecar(dial, settings=settings) as node:
-                client = await node.client()
-                body = LONG * 4
-                sized = framing.replace(b"%d" % len(LONG), b"%d" % len(body))
-                client.writer.write(request("post", deadline=f"{DEADLINE}", extra=sized))
-                client.writer.write(body if framing == LENGTH else chunked(body))
-                assert (await client.answer())[0] == 503  # it was never sent whole
-                assert node.host.telemetry.upstream_tries == 0
-            server.close()
+        async with server_that_stops_reading() as dial, sidecar(dial) as node:
+            client = await begin_upload(node, framing, LONG_DEADLINE)
+            while not any(c._reading_paused for c in node.frontend._connections):
+                await asyncio.sleep(0.01)
+            node.frontend.draining = True
+            node.host.drain()
+            assert (await asyncio.wait_for(client.answer(), LONG_DEADLINE - 1))[0] == 503
 
     run(test())
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import socket
 
@@ -10,12 +11,23 @@
 
 from sprucenotch import api
 from sprucenotch.api import Outcome
-from sprucenotch.node import upstream
+from sprucenotch.node import host, upstream
 from sprucenotch.node.attempt import Attempt
 from sprucenotch.node.connection import Connection
 from sprucenotch.node.frontend import ClientConnection
 from sprucenotch.node.listener import bound, listening
-from tests.sidecar import SETTINGS, Seen, accepting, always_ok, endpoint, never, ok, request, run, sidecar
+from tests.sidecar import (
+    SETTINGS,
+    Seen,
+    accepting,
+    always_ok,
+    endpoint,
+    never,
+    ok,
+    request,
+    run,
+    sidecar,
+)
 from tests.test_leaving import LateConnections, completed
 from tests.test_retuning import swap
 from tests.test_stream import Handler, hangs, raw_engine
@@ -78,6 +90,26 @@
     run(test())
 
 
+# Guards against: a request whose deadline lies behind SIGKILL is not answered, as it came before SIGTERM.
+def test_request_that_came_before_the_stop_is_answered_before_the_kill(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(host, "MAX_DRAIN_DEADLINE", 0)
+
+    async def test() -> None:
+        async with endpoint(never) as hangs, sidecar(hangs.dial) as node:
+            client = await node.client()
+            client.writer.write(request("post", deadline="9"))
+            await hangs.arrived.wait()
+            node.frontend.draining = True
+            node.host.drain()
+            assert (await asyncio.wait_for(client.answer(), 8.0))[0] == 504
+            assert not node.host._open and not node.host._balancer.pending
+
+    run(test())
+    assert not [record for record in caplog.records if record.levelno >= logging.ERROR]
+
+
 def test_reload_during_an_upload_does_not_give_the_request_a_laxer_effect() -> None:
     """When it began, its class could not be repeated; after the reload it can, with another method."""
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -709,6 +709,12 @@
 
     def uploaded(self, rid: int) -> None: ...
 
+    def now(self) -> int:
+        return 0
+
+    def answer_deadline(self, arrived_at: int, deadline: int) -> int:
+        return arrived_at + deadline
+
     def take(self, exchange: Exchange, incoming: Incoming, body: bytes) -> None:
         self.received.append((incoming.head.split()[0], body))
         if self.answers:
