A closed receive window is not taken for a client that has not written more

Cause: an upload with a length whose server reads slowly goes on beyond its time while its client is certain not to have written all of it. A kernel buffer filled to less than an eighth counted as one that has all that was sent. With segments as large as on loopback (47 kB) the kernel opens its window only when the buffer is empty: measured, 84 of 514 reads of 4 KiB left less than an eighth while the client's kernel held 1.9 MB.

Change: such a buffer says that only if it is empty, or if the segments that come are small beside it (TCP_INFO).

Test: test_kernel_that_cannot_take_more_... reads one step at a time and fails without the change at 13,824 bytes held, 3.8 MB unsent.

--- a/sprucenotch/node/transport.py
+++ b/sprucenotch/node/transport.py
@@ -31,6 +31,7 @@
 # A receive buffer whose input takes less than its size by this factor has room for more: a part of it is used
 # up by the kernel's own data (tcp(7), tcp_adv_win_scale).
 MIN_ROOM_FACTOR = 8
+RECEIVE_MSS = struct.Struct("=20xI")  # of Linux' tcp_info: bytes of the largest segments that are received
 UNREAD_SIZE = struct.Struct("i")  # the result of FIONREAD
 
 log = logging.getLogger(__name__)
@@ -122,10 +123,13 @@
             unread = bytearray(UNREAD_SIZE.size)
             fcntl.ioctl(self._socket.fileno(), termios.FIONREAD, unread)
             size = int(UNREAD_SIZE.unpack(unread)[0])
-            room = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            room = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) // MIN_ROOM_FACTOR
+            information = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVE_MSS.size)
         except OSError:
             return None
-        return size if size < room // MIN_ROOM_FACTOR else None
+        # With segments as large as on loopback, the window stays closed while anything is held.
+        window_open = size == 0 or RECEIVE_MSS.unpack(information)[0] < room
+        return size if size < room and window_open else None
 
     def events(self) -> int:
         """The events that poll reports now: POLLIN, POLLRDHUP, POLLHUP, POLLERR; 0 once the connection is
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import sys
+import termios
 from collections.abc import AsyncIterator
 
 import pytest
@@ -153,3 +156,31 @@
             assert (await asyncio.wait_for(client.answer(), LONG_DEADLINE - 1))[0] == 503
 
     run(test())
+
+
+def unsent(own: socket.socket) -> int:
+    """Bytes that were written to a socket and that its peer's kernel does not have."""
+    return int.from_bytes(fcntl.ioctl(own.fileno(), termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
+
+# Guards against: a closed window is taken for a client that has not written more, and the answer comes late.
+def test_kernel_that_cannot_take_more_is_not_taken_for_one_that_has_all() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            with socket.create_connection(("127.0.0.1", node.port)) as client:
+                while not node.frontend._connections:
+                    await asyncio.sleep(0.001)
+                [taken] = node.frontend._connections
+                assert taken._transport is not None
+                taken._transport.pause_reading()
+                client.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        client.send(bytes(MAX_READ_SIZE))
+                kernel, held = taken._transport.get_extra_info("socket"), None
+                while held != 0 or unsent(client):
+                    kernel.recv(4096)
+                    held = taken._transport.holds_at_most()
+                    assert held is None or not unsent(client), held
+
+    run(test())
