Input that waits when a connection is accepted counts as unread from then

Cause: the end of a client that has left may be hidden behind its input; no attempt begins where that may have been so for 0.05 s. The log of three late requests shows the client's first request taken 0.1 s after its close.

Change: a connection on which input waits at accept is behind from then.

Test: ..._before_the_first_read, fails without the change.

--- a/sprucenotch/node/frontend.py
+++ b/sprucenotch/node/frontend.py
@@ -213,6 +213,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(SocketTransport, transport)
+        if self._unread():
+            self._arrival.paused(self.frontend.now())  # it waits for the first read
         self._await_request()
         self.frontend.opened(self)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -18,6 +18,7 @@
 from sprucenotch.node.frontend import MAX_PIPELINED_REQUESTS, MAX_UNSEEN_END, ClientConnection
 from sprucenotch.node.pool import Pool
 from sprucenotch.node.stream import MAX_BUFFERED_BODY_SIZE
+from sprucenotch.node.transport import SocketTransport
 from sprucenotch.platform.system_errors import ignore_failure
 from tests.sidecar import (
     SETTINGS,
@@ -353,6 +354,34 @@
     return next(iter(node.frontend._connections))
 
 
+# Guards against: the same on a new connection, whose input waits for the first read.
+def test_request_is_not_sent_where_the_end_may_have_been_hidden_before_the_first_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now = 0.0
+    monkeypatch.setattr(SocketTransport, "holds_at_most", lambda self: None)
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            opened = node.frontend.opened
+
+            def opened_and_left_waiting(connection: ClientConnection) -> None:
+                nonlocal now
+                opened(connection)
+                now = MAX_UNSEEN_END
+                connection._unread = lambda: True  # type: ignore[method-assign]  # further input waits
+
+            monkeypatch.setattr(node.frontend, "now", lambda: now)
+            monkeypatch.setattr(node.frontend, "opened", opened_and_left_waiting)
+            with socket.create_connection(("127.0.0.1", node.port)) as client:
+                client.sendall(requests(2))
+                client.setblocking(False)
+                answer = await asyncio.get_running_loop().sock_recv(client, 1000)
+            assert answer.startswith(b"HTTP/1.1 503 ") and served.seen == []
+
+    run(test())
+
+
 # Guards against: a client closes its connection with much still unread, and its requests are sent afterwards,
 # as the end is hidden behind input that the kernel has no room for.
 @pytest.mark.parametrize(("answered_lately", "room"), [(False, False), (True, False), (False, True)])
