Ids of the other process are compared by the clock that both share

Cause: the table of ids held times of the host's clock, Unix time anchored at the start of each process. If the wall clock is set forward between the starts of the two processes of an upgrade, the ids of the first one count as expired for the second. Found by reading the change again.

Change: times of the table are of the monotonic clock, one for the machine.

--- a/sprucenotch/node/host.py
+++ b/sprucenotch/node/host.py
@@ -238,11 +238,10 @@
         client.id = rid
         if upload is None:
             self._request_received(request)
-        request.claimed = self._begun.claim(request.table_key, now, now + self._begun_for)
-        if not request.claimed and not self._claim_if_left(request, now):
+        request.claimed = self._claim(request) or self._claim_if_left(request)
+        if not request.claimed:
             self._turn_down_repeated(request)
             return
-        request.claimed = True
         self.post(
             api.Request(
                 rid,
@@ -256,13 +255,19 @@
             )
         )
 
-    def _claim_if_left(self, request: OpenRequest, now: int) -> bool:
+    def _claim(self, request: OpenRequest) -> bool:
+        """Remember the id of a new request. False if the same id came before, here or at the other process of
+        an upgrade, and a server may have run it or may run it still."""
+        now = time.monotonic_ns()  # the same clock for both processes; `now` may have been set between starts
+        return self._begun.claim(request.table_key, now, now + self._begun_for)
+
+    def _claim_if_left(self, request: OpenRequest) -> bool:
         """Remember the id of a request that is open already, if the client of that one has left and no server
         can have run it."""
         for earlier in list(self._open.values()):
             if earlier.claimed and not earlier.answered and earlier.table_key == request.table_key:
                 earlier.client.connected()  # calls `client_gone` if its client has left
-        return self._begun.claim(request.table_key, now, now + self._begun_for)
+        return self._claim(request)
 
     def _turn_down_repeated(self, request: OpenRequest) -> None:
         """Answer a request whose id may run already: refused where that does no harm, else failed."""
@@ -274,7 +279,7 @@
     def _hold_claim(self, request: OpenRequest) -> None:
         """Remember for the whole time from now that a server may run a request."""
         if request.claimed:
-            now = self.now()
+            now = time.monotonic_ns()
             self._begun.hold(request.table_key, now, now + self._begun_for)
 
     def _settle_claim(self, request: OpenRequest) -> None:
--- a/tests/test_begun.py
+++ b/tests/test_begun.py
@@ -16,6 +16,7 @@
 
 from sprucenotch import api
 from sprucenotch.node.begun import BUCKET_ENTRIES, BUCKETS, TABLE_SIZE, BegunRequests, key_of
+from sprucenotch.node.config import SECOND
 from sprucenotch.node.shared_memory import shared_memory
 from sprucenotch.testbed.process import SidecarProcess
 from tests.sidecar import (
@@ -167,6 +168,25 @@
     run(test())
 
 
+# Guards against: the same where the wall clock is set forward between the starts of the two processes.
+def test_ids_of_the_other_process_are_remembered_though_the_wall_clock_was_set() -> None:
+    async def test() -> None:
+        memory = mmap.mmap(-1, TABLE_SIZE)
+        async with (
+            endpoint(never) as served,
+            sidecar(served.dial, begun_memory=memory) as old,
+            sidecar(served.dial, begun_memory=memory) as new,
+        ):
+            now = new.host.now
+            new.host.now = lambda: now() + 3600 * SECOND
+            raw = request("post")
+            await leave_while_it_runs(old, raw, served.arrived)
+            assert (await (await new.client()).ask(raw))[0] == 502
+            assert len(served.seen) == 1
+
+    run(test())
+
+
 def test_processes_in_one_temporary_folder_share_the_ids(tmp_path: Path) -> None:
     async def test() -> None:
         async with endpoint(never) as served, endpoint(nothing_new) as discovery:
