A client whose requests follow each other closely is not refused for ever

Cause: the time for which input may have waited counts from when the sidecar fell behind until each read has found the kernel's buffer empty for 0.05 s. Each read began that time anew, so that with requests every few milliseconds it never ended: after its deadline every request of such a client was refused with a 503.

Change: the time runs from the first of these reads.

Test: test_input_that_keeps_coming_..., fails without the change.

--- a/sprucenotch/node/arrival.py
+++ b/sprucenotch/node/arrival.py
@@ -26,7 +26,7 @@
         self._offset = 0  # bytes read so far
         # Times at which that many bytes had been read while the sidecar has been behind; empty if it is not.
         self._marks: deque[tuple[float, int]] = deque()
-        self._all_read_at: float | None = None  # when the kernel's buffer was last found empty
+        self._all_read_at: float | None = None  # since when each read has found all of the kernel's buffer
 
     @property
     def behind(self) -> bool:
@@ -41,7 +41,7 @@
             self._marks.append((now, self._offset))
         if more:
             self.paused(now)
-        else:
+        elif self._all_read_at is None:
             self._all_read_at = now
 
     def paused(self, now: float) -> None:
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -33,6 +33,16 @@
         assert arrival.unread_for(now) == 0.0
 
 
+# Guards against: a client whose requests follow each other closely is refused for ever, once it had to wait.
+def test_input_that_keeps_coming_and_is_read_at_once_has_not_waited() -> None:
+    arrival = Arrival()
+    arrival.paused(1.0)
+    step = MAX_REFILL_DELAY / 4
+    for number in range(20):
+        arrival.read(100, more=False, now=2.0 + number * step)
+    assert not arrival.behind and arrival.unread_for(2.0 + 20 * step) == 0.0
+
+
 def test_input_may_have_waited_since_reading_was_paused() -> None:
     arrival = Arrival()
     arrival.read(100, more=False, now=1.0)
