--- a/review/scene.py
+++ b/review/scene.py
@@ -14,7 +14,6 @@
 import secrets
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -378,6 +377,6 @@
             for log in sorted(Path(folder).glob("*.log")):
                 record(f"log {log.name}, last lines:\n" + log.read_text(errors="replace")[-3000:])
     record(f"result: {result} ({('held', 'broken', 'could not run')[result]})")
-    print(f"result {result}: {('held', 'broken', 'could not run')[result]}")
-    sys.stdout.flush()
+    with contextlib.suppress(OSError):
+        print(f"result {result}: {('held', 'broken', 'could not run')[result]}", flush=True)
     os._exit(result)
