Review, case 7: late second answers also make an unsafe request run twice

A second answer that declines is taken for the answer to the next request, which is then sent again. The client stand-in wrote a body behind GET, which is corrected.

Nothing is fixed.

--- a/review/scene.py
+++ b/review/scene.py
@@ -299,7 +299,7 @@
         lines.append(f"Idempotency-Key: {key}")
     if not safe:
         lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", ""]).encode() + (b"" if safe else body)
 
 
 async def read_answer(reader: asyncio.StreamReader) -> tuple[int, bytes]:
